Open silent watches anew before what they miss counts as told

Design: a watch's wait and our patience are set by who answers. The agent, whose calls are free, gets waits of 2 s and 0.2 s of patience; where discovery must be asked the wait stays 20 s, and its end may be 1 s overdue, in place of 3. After a silence, and after a broken watch on an agent, the next call does not wait, so that its silence shows at once. A connection that breaks as it comes up is lost like any other, not kept as the watch.

At fault: `discovery.WAIT_MS` 20 s and `SILENT_S` 3 s give a silent watch up 23 s after its call, while what it misses counts as told at 22 s; then a backoff of up to 2 s. `_dialled` took a connection that was already lost for the watch.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -11,7 +11,7 @@
 
 from yewstage.net import config as configuration
 from yewstage.net.core import list_spread_s
-from yewstage.net.discovery import CROWD_MAX_S, Discovery, Listing
+from yewstage.net.discovery import BACKOFF_S, CROWD_MAX_S, Discovery, Listing
 from yewstage.net.http1 import Reply
 
 
@@ -45,7 +45,7 @@
 class Connection:
     def __init__(self) -> None:
         self.asked: list[str] = []
-        self.dropped = False
+        self.dropped = self.closed = False
 
     def write(self, data: bytes) -> None:
         self.asked.append(data.decode().split()[1])
@@ -159,6 +159,55 @@
     assert loop.up(it).asked == ["/v1/endpoints"] and not told
 
 
+def answered(it: Discovery, connection: Connection) -> None:
+    it.replied(connection, reply(200, b'{"generation":9,"reset":false,"instances":[]}'), True)
+
+
+@pytest.mark.parametrize(("spread_s", "most_s"), [(0.0, 6.0), (8.0, 22.0)])
+def test_a_watch_that_falls_silent_is_opened_anew_before_it_counts_as_told(spread_s: float,
+                                                                            most_s: float) -> None:
+    for seed in range(20):
+        loop = Loop()
+        it = watch(loop, seed, [], 7, spread_s)
+        it.start()
+        if spread_s:
+            loop.fire()
+        connection = loop.up(it)
+        answered(it, connection)
+        began, calls = loop.now, len(connection.asked)  # falls silent at once: the earliest there is
+        while not connection.dropped:
+            loop.fire()
+        it.lost(connection)
+        while len(loop.dials) < 2:
+            loop.fire()
+        fresh = loop.up(it)
+        # The agent is given up again and again within its 6 s; discovery at least once within the time.
+        assert loop.now - began < most_s / (2 if not spread_s else 1) and len(connection.asked) == calls
+        assert fresh.asked == ["/v1/endpoints?after=9&wait_ms=1"]  # and this one's silence shows at once
+
+
+def test_a_silent_agent_is_asked_again_within_the_grace_of_the_drain_rule() -> None:
+    loop = Loop()
+    it = watch(loop, 1, [], 7, 0.0)
+    it.start()
+    for _ in range(8):  # each call and rest: discovery may be back at any time, and what it has counts then
+        began, connection = loop.now, loop.up(it)
+        while not connection.dropped:
+            loop.fire()
+        it.lost(connection)
+        loop.fire()
+        assert loop.now - began <= 0.2 + 0.1 + 0.01
+
+
+def test_a_watch_that_breaks_as_it_comes_up_is_opened_anew() -> None:
+    loop = Loop()
+    it = watch(loop, 1, [], 7, 0.0)
+    it.start()
+    loop.dials[-1].connection.closed = True  # lost before the dial's end was told
+    loop.up(it)
+    assert loop.fire() <= 2 * BACKOFF_S and len(loop.dials) == 2
+
+
 def test_who_knows_no_list_or_need_not_ask_does_not_wait() -> None:
     for known, spread_s in ((None, 8.0), (7, 0.0)):
         loop = Loop()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -421,6 +421,28 @@
     on_loop(scenario, 10)  # before an idle connection would be retired
 
 
+def test_a_drain_that_a_silent_watch_misses_is_found_out_in_time(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        leaving, staying = (lambda seen: reply(b"leaving")), (lambda seen: reply(b"staying"))
+        async with Rig(tmp_path, leaving, staying) as rig:
+            directory, fake = rig.directory, rig.directory.fake
+            await fake.until(lambda f: bool(directory.waiting))
+            silent = directory.waiting[-1].writer  # stays open, and says nothing any more
+            fell = asyncio.get_running_loop().time()
+            leaves = [instance("s-0", rig.hosts[0].port, "draining"), instance("s-1", rig.hosts[1].port)]
+            directory.generation += 1
+
+            def behave(seen: Seen) -> bytes | None:  # the news waits for whoever comes on a new connection
+                return None if seen.writer is silent else directory.listing(leaves, True)
+            fake.behave = behave
+            count = len(fake.seen)
+            await fake.until(lambda f: len(f.seen) > count + 1)  # answered, and asked on: the list is known
+            assert asyncio.get_running_loop().time() - fell < 6.0
+            bodies = {(await rig.ask(message(rid=b"after%02d" % i))).body for i in range(8)}
+            assert bodies == {b"staying"}
+    on_loop(scenario)
+
+
 def test_a_host_may_move_to_another_address(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with Rig(tmp_path, serve, serve) as rig:
--- a/yewstage/net/discovery.py
+++ b/yewstage/net/discovery.py
@@ -14,10 +14,15 @@
 
 log = logging.getLogger(__name__)
 
-WAIT_MS = 20000
+WAIT_MS = 20000  # where discovery must be asked, and each call has its price
+AGENT_WAIT_MS = 2000  # where an agent on this machine answers: a call costs nothing, a silent watch drains
 CATCH_UP_MS = 1  # the first wait after a list of unknown age: its answer comes at once, also with no news
-SILENT_S = 3.0  # how long an answer may be overdue before the connection is given up
+SILENT_S = 3.0  # how long an answer may be overdue that discovery has to work for, with others in its line
+OVERDUE_S = 1.0  # the same where a wait has ended: what it missed counts as told 2 s after that end
+AGENT_S = 0.2  # the same for the agent, which answers at once: what it has counts as told, asked or not
+GRACE_S = 0.002  # a turn of the loop or two, in which what has arrived is read before it counts as missing
 BACKOFF_S, BACKOFF_MAX_S = 0.05, 2.0
+AGENT_BACKOFF_MAX_S = 0.1  # a call to the agent is free, and its first word after a silence is urgent
 CROWD_MAX_S = 30.0  # the longest backoff after discovery has turned a call away
 STATES = {"ready": "up", "draining": "draining", "gone": "removed"}
 
@@ -73,6 +78,10 @@
     whole lists for a fleet that starts at once are what overbooks it. What fails is tried again after a
     backoff with full jitter. Danger: gateways that start or lose discovery together would come again in step
     for good, find its line full each time, and each learn of drains and new hosts never.
+
+    A watch that has fallen silent looks like one that has no news. What it misses counts as told 6 s after it
+    fell silent, or 2 s after its wait ends if that is later, so a watch is opened anew well before both. What
+    was silent or broken is followed by a call that does not wait: its silence shows at once.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int],
@@ -81,9 +90,11 @@
         """`known`: the generation of the list that is known; `spread_s`: what the calls of the whole fleet
         take of discovery, over which the first ones and those turned away are spread."""
         self._spread_s = spread_s
+        self._pushed = not spread_s  # an agent on this machine has the list
         self._loop, self._address, self._told, self._rng = loop, address, told, rng
         self._generation = known  # None: the whole list is wanted
-        self._fresh = False  # an answer has come on from that generation
+        self._fresh = False  # the last call was answered, on from that generation
+        self._silent = False  # the last call was not answered: said once
         self._connection: _Watch | None = None
         self._dial: asyncio.Task | None = None
         self._timer: asyncio.TimerHandle | None = None  # the end of our patience, or of a rest
@@ -125,7 +136,7 @@
         if self._connection is not None:
             self._write(self._connection)
             return
-        self._watch_silence(SILENT_S)
+        self._watch_silence(self._patience_s(CATCH_UP_MS))
         self._dial = self._loop.create_task(
             self._loop.create_connection(lambda: _Watch(self), *self._address))
         self._dial.add_done_callback(self._dialled)
@@ -141,22 +152,40 @@
             self._retry()
             return
         self._connection = task.result()[1]
-        self._ask()
+        if self._connection.closed:  # it broke before this turn of the loop, and was lost to nobody
+            self.lost(self._connection)
+        else:
+            self._ask()
 
     def _write(self, connection: _Watch) -> None:
-        wait_ms = WAIT_MS if self._fresh else CATCH_UP_MS
+        wait_ms = CATCH_UP_MS
+        if self._fresh:
+            wait_ms = AGENT_WAIT_MS if self._pushed else WAIT_MS
         query = "" if self._generation is None else f"?after={self._generation}&wait_ms={wait_ms}"
-        self._watch_silence(SILENT_S if self._generation is None else wait_ms / 1000 + SILENT_S)
+        self._watch_silence(self._patience_s(wait_ms))
         connection.write(f"GET /v1/endpoints{query} HTTP/1.1\r\nHost: discovery\r\n\r\n".encode())
 
+    def _patience_s(self, wait_ms: float) -> float:
+        """How long a call that may wait so long is waited for."""
+        if self._pushed:
+            return wait_ms / 1000 + AGENT_S
+        # A call that does not wait stands in discovery's line; one whose wait has ended was served before.
+        return wait_ms / 1000 + (OVERDUE_S if wait_ms > CATCH_UP_MS else SILENT_S)
+
     def _watch_silence(self, seconds: float) -> None:
         if self._timer is not None:
             self._timer.cancel()
-        self._timer = self._loop.call_later(seconds, self._given_up)
+        self._timer = self._loop.call_later(seconds, self._overdue)
+
+    def _overdue(self) -> None:
+        # Guards against our own stall: the answer may be here and unread.
+        self._timer = self._loop.call_later(GRACE_S, self._given_up)
 
     def _given_up(self) -> None:
         # Guards against an agent that is silent for good: without this the watch would hang on one socket.
-        log.warning("discovery: no answer, asking again; the list is kept")
+        if not self._silent:
+            log.warning("discovery: no answer, asking again; the list is kept")
+        self._silent, self._fresh = True, False
         if self._dial is not None:
             self._dial.cancel()
         elif self._connection is not None:
@@ -183,7 +212,7 @@
             connection.drop()
             return
         self._failures, self._generation, self._fresh = 0, listing.generation, True
-        self._turned_away = 0
+        self._turned_away, self._silent = 0, False
         if not reusable:
             self._connection = None
             connection.drop()
@@ -194,6 +223,7 @@
         """The agent closed or reset the connection."""
         if connection is self._connection:
             self._connection = None
+            self._fresh = self._fresh and not self._pushed  # where calls cost, the watch itself catches up
             self._retry()
 
     def _retry(self) -> None:
@@ -202,7 +232,8 @@
         if self._stopped:
             return
         self._failures += 1
-        wait = min(BACKOFF_S * 2 ** min(self._failures, 10), BACKOFF_MAX_S)
+        most = AGENT_BACKOFF_MAX_S if self._pushed else BACKOFF_MAX_S
+        wait = min(BACKOFF_S * 2 ** min(self._failures, 10), most)
         if self._turned_away and self._spread_s:
             wait = min(self._spread_s * 2 ** min(self._turned_away - 1, 10), CROWD_MAX_S)
         self._timer = self._loop.call_later(wait * self._rng.random(), self._ask)
@@ -214,6 +245,7 @@
     def __init__(self, owner: Discovery) -> None:
         super().__init__(LONGEST_LIST)
         self._owner = owner
+        self.closed = False
 
     def replied(self, reply: Reply, reusable: bool) -> None:
         self._owner.replied(self, reply, reusable)
@@ -222,4 +254,5 @@
         log.warning("discovery: an answer that cannot be read, the list is kept")
 
     def lost(self) -> None:
+        self.closed = True
         self._owner.lost(self)
