Write nothing to a host that began to leave while its connection was coming up

Design: whether a host takes anything new is asked at the moment of writing, by the pool that owns the connections: the list tells it who drains, too. A dial to a host that drains, is gone or has moved is ended as soon as the list comes, after the module has heard of it, as a new outcome "withdrawn": it never ran, says nothing of the host, and goes to another at the price of the time it took. Ended at the write, should a dial have come up by then.

At fault: `Hosts._up` wrote the request of a dial that came up late, `Hosts.update` knew of hosts that are gone, not of those that drain, and left dials to both under way. Ruled out: writes held in `Core._send`, which decides and writes in one turn.

--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -17,6 +17,7 @@
 from yewstage.net.config import parse
 from yewstage.net.core import Core, Order
 from yewstage.net.counter import Counter
+from yewstage.net.discovery import Listing, parse_listing
 
 
 class Script:
@@ -158,6 +159,94 @@
     on_loop(scenario, 3)
 
 
+class Held:
+    """A loop whose dials come up when the test says so."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop, self.begun, self.let_up = loop, asyncio.Event(), asyncio.Event()
+        self.ended = asyncio.Event()
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._loop, name)
+
+    async def create_connection(self, *args: object) -> object:
+        self.begun.set()
+        try:
+            made = await self._loop.create_connection(*args)
+            await self.let_up.wait()
+            return made
+        finally:
+            self.ended.set()
+
+
+def the_list(host: Fake, lifecycle: str) -> Listing:
+    gone = lifecycle == "gone"
+    left = [] if gone else [instance("s-0", host.port, lifecycle)]
+    return parse_listing({"generation": 2, "reset": gone, "instances": left})
+
+
+@pytest.mark.parametrize("lifecycle", ["draining", "gone"])
+def test_a_dial_that_is_up_after_its_host_began_to_leave_writes_nothing(monkeypatch: pytest.MonkeyPatch,
+                                                                         lifecycle: str) -> None:
+    """The connection is up and its end not told yet when the list comes: the worst order there is."""
+    async def scenario() -> None:
+        host = Fake(lambda seen: reply(b"served"))
+        core, script = await core_with(monkeypatch, host)
+        core._hosts._loop = held = Held(core._loop)
+        monkeypatch.setattr(core._hosts, "recall", lambda: None)  # only the check at the moment of writing
+        client = Answers()
+        script.plan[api.Request] = [api.Send("r1", "s-0", 5000)]
+        script.plan[api.Outcome] = [api.Refuse("r1")]
+        core.request(client, an_order())
+        await held.begun.wait()
+        await host.until(lambda fake: fake.opened == 1)
+        held.let_up.set()
+        core._listed(the_list(host, lifecycle))
+        assert await client.got.get() == 503
+        assert script.outcomes() == [api.WITHDRAWN]
+        await host.until(lambda fake: fake.closed == 1)
+        assert not [s for s in host.seen if "/api/" in s.line]
+        host.stop()
+    on_loop(scenario, 3)
+
+
+@pytest.mark.parametrize("lifecycle", ["draining", "gone"])
+def test_a_dial_to_a_host_that_begins_to_leave_is_ended_at_once(monkeypatch: pytest.MonkeyPatch,
+                                                                lifecycle: str) -> None:
+    async def scenario() -> None:
+        host = Fake(lambda seen: reply(b"served"))
+        core, script = await core_with(monkeypatch, host)
+        core._hosts._loop = held = Held(core._loop)
+        client = Answers()
+        script.plan[api.Request] = [api.Send("r1", "s-0", 5000)]
+        script.plan[api.Outcome] = [api.Refuse("r1")]
+        core.request(client, an_order())
+        await held.begun.wait()
+        core._listed(the_list(host, lifecycle))
+        assert client.got.get_nowait() == 503  # not when the dial is over
+        kinds = [type(e) for e in script.events]
+        assert kinds[-2:] == [api.ServerList, api.Outcome]  # the list first: it must not be chosen again
+        await held.ended.wait()
+        assert script.outcomes() == [api.WITHDRAWN]
+        host.stop()
+    on_loop(scenario, 3)
+
+
+def test_nothing_is_written_to_a_draining_host_whoever_asks_for_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        host = Fake(lambda seen: reply(b"served"))
+        core, script = await core_with(monkeypatch, host)
+        core._listed(the_list(host, "draining"))
+        client = Answers()
+        script.plan[api.Request] = [api.Send("r1", "s-0", 5000)]
+        script.plan[api.Outcome] = [api.Refuse("r1")]
+        core.request(client, an_order())
+        assert client.got.get_nowait() == 503
+        assert script.outcomes() == [api.WITHDRAWN] and not host.opened
+        host.stop()
+    on_loop(scenario, 3)
+
+
 def test_a_stall_is_not_told_as_the_hosts_latency(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scenario() -> None:
         host = Fake(lambda seen: None)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -575,6 +575,17 @@
     assert host.open == 0 and d.gateway.q == 0
 
 
+def test_a_request_whose_host_began_to_leave_goes_to_another_and_blames_nobody() -> None:
+    d = Driver(servers=2)
+    rid, out = d.ask("pay")
+    (first,) = of(out, api.Send)
+    d.give(api.ServerList("changes", (server(int(first.server[1:]), status="draining"),)))
+    q, bank = d.gateway.q_n, d.gateway.bank
+    (again,) = of(d.end(rid, api.WITHDRAWN, took=0), api.Send)
+    assert again.server != first.server and not d.gateway.hosts[first.server].fails
+    assert (d.gateway.q_n, d.gateway.bank) == (q, bank)
+
+
 def test_a_bound_of_our_own_ends_the_request_at_once() -> None:
     d = Driver(servers=4)
     rid, _ = d.ask()
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -248,9 +248,10 @@
         gone = {s.name for s in listing.servers if s.status == "removed"}
         if kind != "changes":  # a whole list replaces the old one
             gone |= self._hosts.names() - {s.name for s in listing.servers}
-        self._hosts.update(listing.addresses, gone)
+        self._hosts.update(listing.addresses, gone, {s.name for s in listing.servers if s.status != "up"})
         if listing.servers or kind != "changes":
             self._post(api.ServerList(kind, listing.servers))
+        self._hosts.recall()  # after the module has heard: what comes back goes to another host
 
     def _send(self, act: api.Send) -> None:
         request = self._requests.get(act.request)
--- a/yewstage/net/hosts.py
+++ b/yewstage/net/hosts.py
@@ -34,10 +34,11 @@
 
 
 class _Host:
-    __slots__ = ("name", "address", "idle")
+    __slots__ = ("name", "address", "idle", "leaving")
 
     def __init__(self, name: str, address: tuple[str, int]) -> None:
         self.name, self.address = name, address
+        self.leaving = False  # draining: what it has goes on, it gets nothing new
         self.idle: list[_Connection] = []  # the freshest last
 
 
@@ -50,6 +51,7 @@
         self._dial_s, self._idle_s = dial_ms / 1000, IDLE_SHARE * idle_ms / 1000
         self._hosts: dict[str, _Host] = {}
         self._connections: set[_Connection] = set()
+        self._dialling: dict[Attempt, _Host] = {}
         self._dials = 0
         self._stopped = False
 
@@ -63,8 +65,8 @@
         for connection in list(self._connections):
             connection.drop()
 
-    def update(self, addresses: dict[str, tuple[str, int]], gone: set[str]) -> None:
-        """Where to dial each host, and which to dial no more. What is out goes on."""
+    def update(self, addresses: dict[str, tuple[str, int]], gone: set[str], leaving: set[str]) -> None:
+        """Where to dial each host, which drain, and which to dial no more. What is written goes on."""
         for name in gone:
             host = self._hosts.pop(name, None)
             if host is not None:
@@ -75,6 +77,21 @@
                 if host is not None:
                     self._close_idle(host)
                 self._hosts[name] = _Host(name, address)
+            self._hosts[name].leaving = name in leaving
+
+    def recall(self) -> None:
+        """End the dials to hosts that take nothing new: their requests go elsewhere without waiting for them.
+
+        Danger: the module must have heard of the list first, or it would choose the same host again.
+        """
+        for attempt, host in list(self._dialling.items()):
+            if not self._takes(host):
+                self._abandon(attempt)
+                self._end(attempt, api.WITHDRAWN)
+
+    def _takes(self, host: _Host) -> bool:
+        """Whether anything new may be written to a host, as it stood when an attempt was begun."""
+        return self._hosts.get(host.name) is host and not host.leaving
 
     def names(self) -> set[str]:
         """The hosts that can be dialled."""
@@ -86,6 +103,9 @@
         if host is None:
             self._end(attempt, api.CONNECT_FAILED)
             return
+        if host.leaving:
+            self._end(attempt, api.WITHDRAWN)
+            return
         attempt.timer = self._loop.call_later(timeout_s, self._overdue, attempt)
         connection = self._rested(host)
         if connection is not None:
@@ -115,6 +135,7 @@
             self._end(attempt, api.NO_ROOM)
             return
         self._dials += 1
+        self._dialling[attempt] = host
         attempt.dial = self._loop.create_task(
             self._loop.create_connection(lambda: _Connection(self, host), *host.address))
         attempt.dial.add_done_callback(partial(self._dialled, attempt))
@@ -130,6 +151,7 @@
 
     def _dialled(self, attempt: Attempt, task: asyncio.Task) -> None:
         self._dials -= 1
+        host = self._dialling.pop(attempt)
         attempt.dial = None
         attempt.dial_timer.cancel()
         error = None if task.cancelled() else task.exception()
@@ -138,11 +160,14 @@
         elif error is not None:
             self._end(attempt, api.UNSENT)
         else:
-            self._up(attempt, task.result()[1])
+            self._up(attempt, host, task.result()[1])
 
-    def _up(self, attempt: Attempt, connection: _Connection) -> None:
+    def _up(self, attempt: Attempt, host: _Host, connection: _Connection) -> None:
         if attempt.done or self._stopped:
             connection.drop()
+        elif not self._takes(host):  # asked at the moment of writing: a dial may come up late
+            connection.drop()
+            self._end(attempt, api.WITHDRAWN)
         elif connection.transport.is_closing():  # it broke before this turn of the loop
             self._end(attempt, api.UNSENT)
         else:
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -46,7 +46,7 @@
 MOST_USES = 8192  # customers known at once: a flood of new names must not fill the memory
 LOOKS = 64  # customers looked at in one sweep, the longest unseen first
 KEEP_MAX_MS = 60000.0  # longest life of a count
-BROKEN = frozenset((api.CONNECT_FAILED, api.RESET, api.STALE, api.UNSENT))  # the connection, not the work
+BROKEN = frozenset((api.CONNECT_FAILED, api.RESET, api.STALE, api.UNSENT, api.WITHDRAWN))  # not the work
 NO_SAMPLE = BROKEN | {api.CANCELLED, api.SPOILT, api.NO_ROOM}  # results that tell nothing of occupancy
 
 
