Send nothing on for a client that has left, asked of its socket when we write

Before each attempt, and again when its dial has come up, the client's socket is asked for its end (POLLRDHUP, also behind data that is unread). Nobody there: the attempt ends as withdrawn, the module hears that the client left, our side of the connection ends. What has been written already is called off where the settings allow it (its connection is closed, so that a host may drop it from its queue) and runs to its end where they don't.

At fault: `Hosts._up` wrote whatever was not done, and without `bounds.cancel` the module calls nothing off, so a client that left during a dial of up to 1 s was still sent on. `ClientConnection._pump` pauses reading while requests wait behind another, and the end of such a connection lies behind them: its second and third requests went out one by one with nobody there (seen in the log of a fake host: "first", "second"). Ruled out: the wait for a total (the module drops what waits when its client leaves, and `Core._send` asks now). Held by four tests, each failing without its part.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -5,12 +5,14 @@
 import asyncio
 import os
 import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
 
 import pytest
 from conftest import (
+    LOOP,
     ROOT,
     Rig,
     Seen,
@@ -201,6 +203,28 @@
     on_loop(scenario, 4)  # before the attempt's own time-out would close it
 
 
+def test_a_request_behind_another_is_not_sent_on_once_its_client_has_left(tmp_path: Path) -> None:
+    """While requests wait on a connection we read no further, and its end lies behind them."""
+    async def scenario() -> None:
+        async with Rig(tmp_path, silent) as rig:
+            loop, client = asyncio.get_running_loop(), socket.create_connection((LOOP, rig.port))
+            client.setblocking(False)
+            with client:
+                client.sendall(b"".join(message(rid=rid) for rid in (b"first", b"second", b"third")))
+                await rig.hosts[0].until(lambda fake: len(fake.seen) == 1)
+                client.shutdown(socket.SHUT_WR)  # in the other's kernel from here on, and unread
+                rig.hosts[0].behave = serve
+                rig.hosts[0].seen[0].writer.write(reply(b"served"))
+                try:
+                    while await loop.sock_recv(client, 4096):  # until the connection's turns are over
+                        pass
+                except ConnectionResetError:
+                    pass
+            assert (await rig.ask(message(rid=b"last"))).body == b"served"
+            assert [s.headers["x-request-id"] for s in rig.hosts[0].seen] == ["first", "last"]
+    on_loop(scenario)
+
+
 def test_kept_connections_are_used_again(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with Rig(tmp_path, serve) as rig:
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -43,6 +43,10 @@
 
     def __init__(self) -> None:
         self.got: asyncio.Queue[int] = asyncio.Queue()
+        self.has_left = False
+
+    def gone(self) -> bool:
+        return self.has_left
 
     def answer(self, status: int, body: bytes = b"", content_type: bytes = b"", retry_after_ms: float = 0.0
                ) -> None:
@@ -247,6 +251,46 @@
     on_loop(scenario, 3)
 
 
+@pytest.mark.parametrize("told", [True, False])
+def test_a_dial_that_comes_up_after_its_client_left_writes_nothing(monkeypatch: pytest.MonkeyPatch,
+                                                                    told: bool) -> None:
+    """Also where the settings allow no cancelling, and where the client's end is still unread."""
+    async def scenario() -> None:
+        host = Fake(lambda seen: reply(b"served"))
+        core, script = await core_with(monkeypatch, host)
+        core._hosts._loop = held = Held(core._loop)
+        client = Answers()
+        script.plan[api.Request] = [api.Send("r1", "s-0", 5000)]
+        rid = core.request(client, an_order())
+        await host.until(lambda fake: fake.opened == 1)
+        client.has_left = True
+        if told:
+            core.left(rid)
+        held.let_up.set()
+        await host.until(lambda fake: fake.closed == 1)
+        assert not host.seen and client.got.empty()
+        assert script.outcomes() == [api.WITHDRAWN] and script.events[-1].final
+        assert api.ClientLeft(rid) in script.events and not core._requests and not core._wire_ids
+        host.stop()
+    on_loop(scenario, 3)
+
+
+def test_what_the_module_sends_on_late_is_not_sent_for_who_has_left(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        host = Fake(lambda seen: reply(b"served"))
+        core, script = await core_with(monkeypatch, host)
+        client = Answers()
+        rid = core.request(client, an_order())
+        client.has_left = True  # while the module waits for the counter
+        script.plan[api.CountReply] = [api.Send(rid, "s-0", 5000)]
+        core._post(api.CountReply("n", api.OK, 1))
+        assert script.outcomes() == [api.MOOT] and script.events[-1].final and not core._requests
+        await asyncio.sleep(0)
+        assert not host.opened
+        host.stop()
+    on_loop(scenario, 3)
+
+
 def test_a_stall_is_not_told_as_the_hosts_latency(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scenario() -> None:
         host = Fake(lambda seen: None)
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -16,6 +16,7 @@
 from yewstage import interface as api
 from yewstage.net.core import Core, Order
 from yewstage.net.http1 import LONGEST_BODY
+from yewstage.net.peek import hung_up
 
 log = logging.getLogger(__name__)
 
@@ -330,6 +331,17 @@
             self._end(status)
         self._pump()
 
+    def gone(self) -> bool:
+        """Whether the client has left: asked of the socket, since while requests wait we read no further.
+
+        Then our side ends, too: nobody is answered, and a connection that waits for its turn would stay
+        for good.
+        """
+        if not hung_up(self.transport):
+            return False
+        self.transport.abort()
+        return True
+
     def _end(self, status: int) -> None:
         """Close after the last answer. What a rejected client still sends is read for a while: a close with
         unread data resets the connection, and the answer with it."""
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -60,6 +60,9 @@
                retry_after_ms: float = 0.0) -> None:
         """Pass the one final answer on."""
 
+    def gone(self) -> bool:
+        """Whether the client has ended its connection, told or not."""
+
 
 @dataclass(slots=True)
 class Order:
@@ -101,7 +104,7 @@
         self._clock = Clock()
         self._gateway = Gateway(config.settings, config.seed)
         self._hosts = Hosts(loop, int(UPSTREAM_SHARE * config.sockets), config.dial_ms, config.idle_ms,
-                            self._ended)
+                            self._ended, self._wanted)
         known = config.known.generation if config.known.servers else None
         # A generator of its own for the network's jitter: the module's draws stay a function of its events.
         self._discovery = Discovery(loop, config.discovery, self._listed,
@@ -207,6 +210,16 @@
             self._close(request)
             self._post(api.ClientLeft(rid))
 
+    def _wanted(self, attempt: Attempt) -> bool:
+        """Whether somebody waits for what is about to be written."""
+        return self._waits(self._requests.get(attempt.request))
+
+    def _waits(self, request: _Open | None) -> bool:
+        """Whether a request's client is there: the socket is asked, since its end may be unread for long."""
+        if request is not None and request.client is not None and request.client.gone():
+            self.left(request.id)
+        return request is not None and request.client is not None
+
     def _guard(self, request: _Open) -> None:
         # Guards the first rule: whatever the module or a socket does, the client gets its answer in time.
         log.warning("a request ran to its deadline unanswered: failed by the guard")
@@ -257,11 +270,11 @@
         request = self._requests.get(act.request)
         number = len(request.attempts) if request is not None else 0
         left_s = request.end_at - time.monotonic() if request is not None else 0.0
-        if request is None or request.client is None or left_s <= 0 or number >= self.settings.try_limit:
+        waits = self._waits(request)
+        if not waits or left_s <= 0 or number >= self.settings.try_limit:
             if request is not None:
                 request.attempts.append(None)
-            self._post(api.Outcome(act.request, number, act.server, api.MOOT, 0.0,
-                                   request is None or request.client is None))
+            self._post(api.Outcome(act.request, number, act.server, api.MOOT, 0.0, not waits))
             return
         wait_s = min(act.timeout_ms / 1000, left_s) if act.timeout_ms else left_s
         order = request.order
--- a/yewstage/net/hosts.py
+++ b/yewstage/net/hosts.py
@@ -46,8 +46,10 @@
     """Sends attempts and reports how each one ended, exactly once."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, most: int, dial_ms: float, idle_ms: float,
-                 ended: Callable[[Attempt, str, Reply | None], None]) -> None:
-        self._loop, self._most, self._ended = loop, most, ended
+                 ended: Callable[[Attempt, str, Reply | None], None],
+                 wanted: Callable[[Attempt], bool]) -> None:
+        """`wanted`: whether somebody waits for an attempt, asked when a dial has come up."""
+        self._loop, self._most, self._ended, self._wanted = loop, most, ended, wanted
         self._dial_s, self._idle_s = dial_ms / 1000, IDLE_SHARE * idle_ms / 1000
         self._hosts: dict[str, _Host] = {}
         self._connections: set[_Connection] = set()
@@ -165,9 +167,9 @@
     def _up(self, attempt: Attempt, host: _Host, connection: _Connection) -> None:
         if attempt.done or self._stopped:
             connection.drop()
-        elif not self._takes(host):  # asked at the moment of writing: a dial may come up late
+        elif not self._takes(host) or not self._wanted(attempt):  # asked when we write: dials come up late
             connection.drop()
-            self._end(attempt, api.WITHDRAWN)
+            self._end(attempt, api.WITHDRAWN)  # unless the client's leaving has ended it already
         elif connection.transport.is_closing():  # it broke before this turn of the loop
             self._end(attempt, api.UNSENT)
         else:
