Close no connection over a request that has come unread, nor over an answer unsent

Design: before the gateway ends a connection on which it owes nothing (the drain, the idle limit, room for others) it asks the socket: what has come unread is served first, and an answer that is still in our buffer leaves first. A connection that has just come up is given 0.1 s to ask before the drain closes it. The listener closes once its backlog is empty, tried again while there is no room.

At fault: `Server.stop_accepting` took ACCEPTS = 16 of a backlog of 256 and closed the rest with a reset; `close_if_idle`, `check` and `_room` closed and aborted by what the loop had read. `ClientConnection.answer` called `Server.waits` before it wrote: with the descriptors used up the connection itself was the longest idle one, and was aborted under its own answer (found by the backlog test, which hung on it). `Shutdown._end` left 0.02 s between the last answers and the exit, in which new requests were taken and lost. Ruled out: the last moment of the drain itself. It follows the settings' longest deadline as SIGKILL does; requests with a longer time of their own are failed then, in time.

--- a/yewstage/__main__.py
+++ b/yewstage/__main__.py
@@ -19,6 +19,7 @@
 ACCEPT_S = 0.5  # after SIGTERM, connections still come for 0.4 s
 LONGEST_S = 3.0  # SIGKILL comes 0.7 s after the longest deadline, or this if that is less, at the soonest
 LAST_S = 0.4
+FLUSH_S = 0.15  # after the last moment, for answers to leave and for what still comes to be refused
 CHECK_S = 0.02
 LINES_PER_S = 20
 GC_ALLOCATIONS = 20_000
@@ -67,20 +68,16 @@
         self._loop.call_later(self._last_s, self._end)
 
     def _stop_accepting(self) -> None:
-        self._server.stop_accepting()
-        self._check()
-
-    def _check(self) -> None:
         # An answer closes its connection while we drain, so with the last connection all is answered.
-        if self._server.close_idle():
+        if self._server.stop_accepting() and self._server.close_idle():
             self.done.set()
         else:
-            self._loop.call_later(CHECK_S, self._check)
+            self._loop.call_later(CHECK_S, self._stop_accepting)
 
     def _end(self) -> None:
         # Guards against SIGKILL: what is open then would be lost, an answer now is none too late.
         self._core.fail_all()
-        self._loop.call_later(CHECK_S, self.done.set)
+        self._loop.call_later(FLUSH_S, self.done.set)
 
 
 def _reload(core: Core) -> None:
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -10,13 +10,14 @@
 import time
 from collections import deque
 from functools import lru_cache
+from itertools import islice
 
 import httptools
 
 from yewstage import interface as api
 from yewstage.net.core import Core, Order
 from yewstage.net.http1 import LONGEST_BODY
-from yewstage.net.peek import hung_up
+from yewstage.net.peek import hung_up, readable
 
 log = logging.getLogger(__name__)
 
@@ -31,6 +32,8 @@
 SWEEP_S = 0.25
 ACCEPT_PAUSE_S = 0.05
 ACCEPTS = 16  # connections taken in one turn of the loop: others have work to do, too
+FRESH_S = 0.1  # a client that has just connected is about to ask: what it sends is on its way so long
+LOOKS = 16  # connections looked at for one that may be closed
 
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 408: b"Request Timeout",
            409: b"Conflict", 413: b"Content Too Large", 500: b"Internal Server Error", 502: b"Bad Gateway",
@@ -303,6 +306,8 @@
             self.answer(200 if self._core.ready() else 503)
         elif not path.startswith(b"/api/"):
             raise BadRequestError("path", 404)
+        elif self._core.ended:
+            self.answer(503)  # nothing that is begun now would come to its end
         else:
             wanted = order(message, self._server.terms)
             rid = self._core.request(self, wanted)
@@ -317,7 +322,6 @@
         self._open, self._busy, self.answered = None, False, True
         if self.transport.is_closing():
             return
-        self._server.waits(self)
         keep = self._keep_alive and not self._core.draining
         parts = [LINES[status], b"Content-Length: %d\r\n" % len(body)]
         if content_type:
@@ -327,6 +331,7 @@
         parts.append(b"\r\n" if keep else b"Connection: close\r\n\r\n")
         parts.append(body)
         self.transport.write(b"".join(parts))
+        self._server.waits(self)  # not before the answer is written: who waits gives way to others
         if not keep:
             self._end(status)
         self._pump()
@@ -363,12 +368,26 @@
         elif self._message is not None and waited > READ_S:
             self._reject(408)
             self._pump()
-        elif waited > (IDLE_S if self.answered else READ_S):
+        elif waited > (IDLE_S if self.answered else READ_S) and self.idle():
             self.transport.close()
 
-    def close_if_idle(self) -> None:
-        """Close unless a request is owed its answer or is being read."""
-        if not self._busy and self._message is None and not self._queue:
+    def idle(self) -> bool:
+        """Whether a close crosses nothing that we could know of: no request is open, half read or unread.
+
+        Guards the request that has come and lies in the kernel: closed unread, its client has to come again
+        with it, and the first one on a connection has failed.
+        """
+        return not (self._busy or self._message is not None or self._queue
+                    or self.transport.is_closing() or readable(self.transport))
+
+    def may_go(self) -> bool:
+        """Whether an abort loses nothing where no answer is owed: none that is unsent, no unread request."""
+        transport = self.transport
+        return not (transport.is_closing() or transport.get_write_buffer_size() or readable(transport))
+
+    def close_if_idle(self, now: float) -> None:
+        """Close unless a request is owed its answer, is being read, or may be on its way at once."""
+        if self.idle() and (self.answered or now - self.since > FRESH_S):
             self.transport.close()
 
 
@@ -399,19 +418,22 @@
         self.loop.call_later(SWEEP_S, self._sweep)
         return self._socket.getsockname()[:2]
 
-    def stop_accepting(self) -> None:
-        """Close the listening socket, once what has come to it is accepted."""
-        if self._accepting:
-            self._accept()
-        self._pause()
-        if self._socket is not None:
+    def stop_accepting(self) -> bool:
+        """Close the listening socket, once all that has come to it is accepted: the close resets the rest.
+
+        False while there is no room for all of it: the socket stays open, and this is to be called again.
+        """
+        if self._socket is not None and self._take_in(BACKLOG + 1):
+            self._pause()
             self._socket.close()
             self._socket = None
+        return self._socket is None
 
     def close_idle(self) -> bool:
         """Close the connections that carry nothing; True once none is left."""
+        now = self.loop.time()
         for connection in list(self.connections):
-            connection.close_if_idle()
+            connection.close_if_idle(now)
         return not self.connections and not self._pending
 
     def opened(self, connection: ClientConnection) -> None:
@@ -456,34 +478,42 @@
         """
         if len(self.connections) + len(self._pending) < self._most:
             return True
-        oldest = next(iter(self._kept or self._unheard), None)
-        if oldest is None:
-            return False
-        self.closed(oldest)
-        oldest.transport.abort()
-        return True
+        # Danger: one whose next request lies in the kernel would have to send it again, or fail with it.
+        for connection in (*islice(self._kept, LOOKS), *islice(self._unheard, LOOKS)):
+            if connection.may_go():
+                self.closed(connection)
+                connection.transport.abort()
+                return True
+        return False
 
     def _accept(self) -> None:
+        self._take_in(ACCEPTS)
+
+    def _take_in(self, most: int) -> bool:
+        """Accept so many that wait; True if no more do."""
         # Guards the descriptors: beyond the bound clients wait in the backlog, and a failing accept is
         # tried again later. Neither may end the listener.
-        for _ in range(ACCEPTS):
+        for _ in range(most):
             if not self._room():
                 self._pause()
-                return
+                return False
             try:
                 accepted, _ = self._socket.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+            except BlockingIOError:
+                return True
+            except (InterruptedError, ConnectionAbortedError):
+                continue
             except OSError as error:
                 log.warning("accept failed: %s", errno.errorcode.get(error.errno, error))
                 self._pause()
                 self.loop.call_later(ACCEPT_PAUSE_S, self._resume)
-                return
+                return False
             accepted.setblocking(False)
             task = self.loop.create_task(
                 self.loop.connect_accepted_socket(lambda: ClientConnection(self), accepted))
             self._pending.add(task)
             task.add_done_callback(self._accepted)
+        return False
 
     def _accepted(self, task: asyncio.Task) -> None:
         # Until here the connection counted twice, which may have paused the listener with room left.
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -122,6 +122,7 @@
         self._beat_due = time.monotonic() + BEAT_S
         self._heard = False  # discovery has answered in this life
         self.draining = False
+        self.ended = False  # all that was open is answered, and nothing new is begun
 
     # --- Life ---------------------------------------------------------------------------------------------
 
@@ -156,7 +157,8 @@
         return self._heard or time.monotonic() - self._started > LIST_WAIT_S
 
     def fail_all(self) -> None:
-        """Answer all that is open as failed: the process is about to end."""
+        """Answer all that is open as failed, and begin nothing more: the process is about to end."""
+        self.ended = True
         for request in list(self._requests.values()):
             self._give_up(request)
 
