Take no total of a counter that was left for one of the counter that is called now

Design: after SIGHUP what is out on the old counter's connections ends there; a total that still comes is told as an answer without one: added, nothing learnt.

At fault: `_Slot.replied` handed the module a total of the old address whatever had happened since, and the module measures the others' use as the difference of two totals of a name. The calls that were waiting for it are decided by the estimate. Ruled out: the old discovery (its connection is compared with the watch's own at each answer). Test with two counters on loopback; fails without the change.

--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -521,3 +521,21 @@
         counter.stop()
         fake.stop()
     on_loop(scenario)
+
+
+def test_a_total_of_the_counter_that_was_left_is_not_the_new_ones(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        old, new = Fake(lambda seen: None), Fake(lambda seen: reply(b"2"))
+        counter, got = await counter_with(monkeypatch, old, 2000)
+        await new.start()
+        counter.call(api.Count("a", 1, 1000))
+        await old.until(lambda fake: len(fake.seen) == 1)
+        counter.move((LOOP, new.port))
+        old.seen[0].writer.write(reply(b"70"))  # late, and true of the old one alone
+        assert (await got.get()).result == api.SPOILT
+        counter.call(api.Count("a", 1, 1000))
+        answer = await got.get()
+        assert (answer.result, answer.total) == (api.OK, 2)
+        old.stop()
+        new.stop()
+    on_loop(scenario, 5)
--- a/yewstage/net/counter.py
+++ b/yewstage/net/counter.py
@@ -245,6 +245,10 @@
             self._connection.drop()  # before the module hears of it: its next call goes to another one
         if total is None:
             self._counter.end(call, api.FULL)
+        elif self._retired:
+            # Guards the totals: what another counter knows, the one that we call now may not, and its totals
+            # are measured against this one. Added it is, as far as that goes.
+            self._counter.end(call, api.SPOILT)
         else:
             self._counter.end(call, api.OK, total)
 
