Listen once the agent has told its list, for a second at most

Design: where lists are pushed a new process asks the agent first and opens its listening socket with the answer, or after the second that `ready` has waited so far. Where discovery must be asked it listens at once, as before.

At fault: `serve` listened before the first answer and served whoever came by the list of the configuration, while what the agent has counts as told from the first moment of a process; the grace of 250 ms is over before it has started. The front waits for /ready, but clients go on coming to a gateway that was killed.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -230,6 +230,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.port = 0
         self.log: list[str] = []
+        self.known: dict = {"generation": 0, "reset": True, "instances": []}
 
     async def __aenter__(self) -> Rig:
         for host in self.hosts:
@@ -247,7 +248,7 @@
             "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, **self.limits},
             "counter": f"{LOOP}:{self.counter.port}",
-            "known": {"generation": 0, "reset": True, "instances": []},
+            "known": self.known,
             "settings": {
                 "grades": GRADES, "packages": PACKAGES, "fleet_size": 1, "me": 0, "zone": "a", "tick_ms": 4.0,
                 "bounds": {"try_limit": 3, "cancel": True, "retry_after": True, "max_retry_after_ms": 1000.0,
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -467,6 +467,31 @@
     on_loop(scenario)
 
 
+def test_no_client_is_taken_before_the_agent_has_told_its_list(tmp_path: Path) -> None:
+    """A restarted gateway: its configuration still calls ready what the agent knows to be leaving."""
+    async def scenario() -> None:
+        leaving, staying = (lambda seen: reply(b"leaving")), (lambda seen: reply(b"staying"))
+        async with Rig(tmp_path, leaving, staying) as rig:
+            directory, ports = rig.directory, [host.port for host in rig.hosts]
+            rig.process.kill()
+            await rig.process.wait()
+            asked = len(directory.fake.seen)
+            directory.fake.behave = lambda seen: None  # the new process asks, and is answered when we say so
+            rig.known = {"generation": 1, "reset": True,
+                         "instances": [instance("s-0", ports[0]), instance("s-1", ports[1])]}
+            starting = asyncio.create_task(rig.launch())
+            await directory.fake.until(lambda fake: len(fake.seen) > asked)
+            with pytest.raises(ConnectionRefusedError):
+                await rig.connect()
+            directory.fake.behave = lambda seen: None if "wait_ms=2000" in seen.line else directory.listing(
+                [instance("s-0", ports[0], "draining"), instance("s-1", ports[1])], True)
+            directory.fake.seen[-1].writer.transport.abort()  # come again
+            await starting
+            bodies = {(await rig.ask(message(rid=b"id-%d" % i))).body for i in range(8)}
+            assert bodies == {b"staying"}
+    on_loop(scenario)
+
+
 def test_a_host_may_move_to_another_address(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with Rig(tmp_path, serve, serve) as rig:
--- a/yewstage/__main__.py
+++ b/yewstage/__main__.py
@@ -101,6 +101,7 @@
         loop.add_signal_handler(number, shutdown.begin)
     loop.add_signal_handler(signal.SIGHUP, _reload, core)
     core.start()
+    await core.informed.wait()  # no client is taken before the list is as told
     host, port = server.start(config.listen)
     logging.info("listening on %s:%d", host, port)
     gc.freeze()
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -121,6 +121,7 @@
         self._started = 0.0
         self._beat_due = time.monotonic() + BEAT_S
         self._heard = False  # discovery has answered in this life
+        self.informed = asyncio.Event()  # it has, or has been waited for long enough
         self.draining = False
         self.ended = False  # all that was open is answered, and nothing new is begun
 
@@ -136,6 +137,9 @@
             self._counter.start()
         self._beat_due = time.monotonic() + BEAT_S
         self._loop.call_later(BEAT_S, self._beat)
+        # Danger: what an agent on this machine has counts as told from our first moment, and clients may come
+        # to a restarted gateway before the front does. Where discovery must be asked, its word may take long.
+        self._loop.call_later(0.0 if self.settings.must_ask else LIST_WAIT_S, self.informed.set)
 
     def stop(self) -> None:
         """Close everything towards the back end."""
@@ -257,6 +261,7 @@
 
     def _listed(self, listing: Listing) -> None:
         self._heard = True
+        self.informed.set()
         self._apply(listing, "full" if listing.whole else "changes")
 
     def _apply(self, listing: Listing, kind: str) -> None:
