Log a counter answer that cannot be read, in one line

At fault: `_Slot.spoilt` gave the connection up without a word, where a spoilt list and a spoilt configuration are each told in a line. What it changes stays as it was: added, no total, another connection.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -513,6 +513,26 @@
     on_loop(scenario, 12)  # before the watch's own time-out would begin a new one
 
 
+@pytest.mark.parametrize("answer", [reply(b"many"), b"\0noise\r\n\r\n"])
+def test_a_spoilt_counter_answer_is_logged_and_changes_nothing(tmp_path: Path, answer: bytes) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, serve) as rig:
+            spoilt: list[Seen] = []
+
+            def behave(seen: Seen) -> bytes:
+                spoilt.append(seen)
+                return answer
+            rig.counter.behave = behave
+            assert (await rig.ask(message(rid=b"first"))).body == b"served"
+            await rig.counter.until(lambda fake: bool(spoilt))
+            rig.counter.behave = lambda seen: adding(seen, rig.totals)
+            assert (await rig.ask(message(rid=b"second"))).body == b"served"
+            while len([line for line in rig.log if "counter: an answer that cannot" in line]) < len(spoilt):
+                await asyncio.sleep(0.01)
+            assert len([line for line in rig.log if "WARNING" in line]) == len(spoilt)  # a line for each
+    on_loop(scenario, 8)
+
+
 def test_a_counter_that_breaks_does_not_stop_service(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with Rig(tmp_path, serve) as rig:
--- a/yewstage/net/counter.py
+++ b/yewstage/net/counter.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections import deque
 from collections.abc import Callable
 
 from yewstage import interface as api
 from yewstage.net.http1 import Reply, ReplyProtocol, number
 
+log = logging.getLogger(__name__)
+
 CONNECTIONS = 4  # a slow part of the counter holds up what is written behind it on the same connection
 DIAL_S = 0.25
 BACKOFF_S, BACKOFF_MAX_S = 0.05, 1.0
@@ -254,6 +257,7 @@
 
     def spoilt(self) -> None:
         """Noise where answers should be: no call behind it will be told its total either."""
+        log.warning("counter: an answer that cannot be read, its connection is given up")
         self._connection.drop()
         self._end_all(api.SPOILT)
 
