Force the order that the spoilt-counter test left to the speed of the machine

Cause: the test's customer earns 500 units a second from the start of the process (its split of the rate, on purpose), and its second request of 2 units came 3 ms after it on a quick machine: refused, as designed. Change: a plan that earns a request's units before the first one can come; what the test asks is as strict as before.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -91,6 +91,8 @@
     {"name": "pay", "objective_ms": 3000.0, "deadline_ms": 6000.0, "worth": 2.0, "effect": "unsafe"},
 ]
 PACKAGES = [{"name": "team", "refill": 500.0, "burst": 1000.0, "worth_factor": 1.0},
+            # Earns what a request takes before the first one can come: a start gives nothing away.
+            {"name": "quick", "refill": 1e6, "burst": 1e6, "worth_factor": 1.0},
             {"name": "small", "refill": 1.0, "burst": 4.0, "worth_factor": 1.0, "over_cost": 1.0}]
 Behave = Callable[["Seen"], bytes | None]
 
