Ask at the write what time can overtake: the window, the client, the time told, a restart

`Gateway._may_send` compared the window at the decision and nothing asked again. Ruled out: the clock that the window starts by (the decision, which no byte comes before). Change: `Send.write_by_ms` carries the last moment. `Hosts` asks right before each write for the window, the drain, the host's start and (after a dial) the client, ends a dial with the window, and answers its request then. Likewise found on the list of what time overtakes: bytes that stood half written in our buffer after the client left, after the final answer or after the window were still sent; the time told to a host was that of the decision; a dial begun for a host's process before its restart was written to the cold one; a cold host's budget began with what its earlier start had left. The stand-in of a held dial closes its socket when it is called off, as the loop does: a client's leaving ends the dial now.

--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -177,7 +177,11 @@
         self.begun.set()
         try:
             made = await self._loop.create_connection(*args)
-            await self.let_up.wait()
+            try:
+                await self.let_up.wait()
+            except asyncio.CancelledError:
+                made[0].abort()  # as the loop closes the socket of a dial that is called off
+                raise
             return made
         finally:
             self.ended.set()
--- a/yewstage/interface.py
+++ b/yewstage/interface.py
@@ -16,7 +16,7 @@
 UNSENT = "unsent"  # a connection came up and broke before the last byte was written: it never ran
 CUT = "cut"  # the connection broke under a counter call: it may have been added, the counter may be well
 NO_ROOM = "no_room"  # a bound of our own kept it from being sent: it says nothing of the server
-WITHDRAWN = "withdrawn"  # its host or client left before a byte was written: it never ran
+WITHDRAWN = "withdrawn"  # what it was decided on was no longer so when it came to the write: it never ran
 NEVER_RAN = frozenset((FULL, CONNECT_FAILED, MOOT, UNSENT, NO_ROOM, WITHDRAWN))
 
 
@@ -219,6 +219,7 @@
     request: str
     server: str
     timeout_ms: float
+    write_by_ms: float = math.inf  # its last byte must be written within this time, or not at all
 
 
 @dataclass(slots=True, frozen=True)
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -215,6 +215,7 @@
         if request is not None and request.client is not None:
             self._close(request)
             self._post(api.ClientLeft(rid))
+            self._call_off(request)
 
     def _wanted(self, attempt: Attempt) -> bool:
         """Whether somebody waits for what is about to be written."""
@@ -247,12 +248,23 @@
             client.answer(status, retry_after_ms=retry_after_ms)
         else:
             client.answer(status, reply.body, reply.headers.get(b"content-type", b""))
+        self._call_off(request)
 
     def _close(self, request: _Open) -> None:
         request.client = None
         request.guard.cancel()
         self._forget(request)
 
+    def _call_off(self, request: _Open) -> None:
+        """End what is not written whole for a request that nobody waits for.
+
+        Danger: what stands half written in our buffer would begin at its host after the client has gone.
+        """
+        if request.out:
+            for attempt in request.attempts:
+                if attempt is not None:
+                    self._hosts.withdraw(attempt)
+
     def _forget(self, request: _Open) -> None:
         if request.client is None and not request.out and self._requests.pop(request.id, None) is not None:
             self._wire_ids.discard(request.order.wire_id)
@@ -268,7 +280,8 @@
         gone = {s.name for s in listing.servers if s.status == "removed"}
         if kind != "changes":  # a whole list replaces the old one
             gone |= self._hosts.names() - {s.name for s in listing.servers}
-        self._hosts.update(listing.addresses, gone, {s.name for s in listing.servers if s.status != "up"})
+        self._hosts.update(listing.addresses, gone, {s.name for s in listing.servers if s.status != "up"},
+                           {s.name: s.up_since_ms for s in listing.servers})
         if listing.servers or kind != "changes":
             self._post(api.ServerList(kind, listing.servers))
         self._hosts.recall()  # after the module has heard: what comes back goes to another host
@@ -285,11 +298,12 @@
             return
         wait_s = min(act.timeout_ms / 1000, left_s) if act.timeout_ms else left_s
         order = request.order
-        payload = b"%bX-Deadline: %dm\r\n\r\n%b" % (order.head, max(wait_s * 1000, 1), order.body)
-        attempt = Attempt(act.request, number, act.server, payload, time.monotonic())
+        now = time.monotonic()
+        attempt = Attempt(act.request, number, act.server, order.head, order.body, now, now + wait_s,
+                          now + act.write_by_ms / 1000)
         request.attempts.append(attempt)
         request.out += 1
-        self._hosts.send(attempt, max(wait_s, 0.0))
+        self._hosts.send(attempt)
 
     def _ended(self, attempt: Attempt, result: str, reply: Reply | None) -> None:
         request = self._requests[attempt.request]
--- a/yewstage/net/hosts.py
+++ b/yewstage/net/hosts.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import select
+import time
 from collections.abc import Callable
 from functools import partial
 
@@ -18,26 +20,37 @@
 
 
 class Attempt:
-    """One Send until its one outcome."""
+    """One Send until its one outcome. Times are in seconds by time.monotonic."""
 
-    __slots__ = ("request", "number", "server", "payload", "sent_at", "connection", "dial", "timer",
-                 "dial_timer", "done")
+    __slots__ = ("request", "number", "server", "head", "body", "sent_at", "until", "write_by", "connection",
+                 "dial", "timer", "dial_timer", "write_timer", "done")
 
-    def __init__(self, request: str, number: int, server: str, payload: bytes, sent_at: float) -> None:
+    def __init__(self, request: str, number: int, server: str, head: bytes, body: bytes, sent_at: float,
+                 until: float, write_by: float = math.inf) -> None:
+        """`until`: when we stop waiting for its answer; `write_by`: its last byte is written by then, or
+        nothing of it counts."""
         self.request, self.number, self.server = request, number, server
-        self.payload, self.sent_at = payload, sent_at
+        self.head, self.body = head, body
+        self.sent_at, self.until, self.write_by = sent_at, until, write_by
         self.connection: _Connection | None = None
         self.dial: asyncio.Task | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.dial_timer: asyncio.TimerHandle | None = None
+        self.write_timer: asyncio.TimerHandle | None = None  # runs while its last byte is unwritten
         self.done = False
 
+    def payload(self, now: float) -> bytes:
+        """What goes to the host at `now`; the time told is what is left then, not at the decision."""
+        return b"%bX-Deadline: %dm\r\n\r\n%b" % (self.head, max((self.until - now) * 1000, 1), self.body)
+
 
 class _Host:
-    __slots__ = ("name", "address", "idle", "leaving")
+    """One process of a host: another address or a later start is another one."""
+
+    __slots__ = ("name", "address", "born", "idle", "leaving")
 
-    def __init__(self, name: str, address: tuple[str, int]) -> None:
-        self.name, self.address = name, address
+    def __init__(self, name: str, address: tuple[str, int], born: float) -> None:
+        self.name, self.address, self.born = name, address, born
         self.leaving = False  # draining: what it has goes on, it gets nothing new
         self.idle: list[_Connection] = []  # the freshest last
 
@@ -67,18 +80,23 @@
         for connection in list(self._connections):
             connection.drop()
 
-    def update(self, addresses: dict[str, tuple[str, int]], gone: set[str], leaving: set[str]) -> None:
-        """Where to dial each host, which drain, and which to dial no more. What is written goes on."""
+    def update(self, addresses: dict[str, tuple[str, int]], gone: set[str], leaving: set[str],
+               born: dict[str, float]) -> None:
+        """Where to dial each host, which drain, and which to dial no more. What is written goes on.
+
+        `born`: when each started. Danger: a dial that was begun for the process before would take a cold
+        host's work past its budget.
+        """
         for name in gone:
             host = self._hosts.pop(name, None)
             if host is not None:
                 self._close_idle(host)
         for name, address in addresses.items():
             host = self._hosts.get(name)
-            if host is None or host.address != address:
+            if host is None or host.address != address or born.get(name, 0.0) > host.born:
                 if host is not None:
                     self._close_idle(host)
-                self._hosts[name] = _Host(name, address)
+                self._hosts[name] = _Host(name, address, born.get(name, 0.0))
             self._hosts[name].leaving = name in leaving
 
     def recall(self) -> None:
@@ -99,19 +117,20 @@
         """The hosts that can be dialled."""
         return set(self._hosts)
 
-    def send(self, attempt: Attempt, timeout_s: float) -> None:
+    def send(self, attempt: Attempt) -> None:
         """Write an attempt to an idle connection, or to a new one."""
         host = self._hosts.get(attempt.server)
         if host is None:
             self._end(attempt, api.CONNECT_FAILED)
             return
-        if host.leaving:
+        now = time.monotonic()
+        if not self._takes(host) or now > attempt.write_by:
             self._end(attempt, api.WITHDRAWN)
             return
-        attempt.timer = self._loop.call_later(timeout_s, self._overdue, attempt)
+        attempt.timer = self._loop.call_later(max(attempt.until - now, 0.0), self._overdue, attempt)
         connection = self._rested(host)
         if connection is not None:
-            connection.begin(attempt)
+            self._begin(attempt, connection)
         else:
             self._dial(host, attempt)
 
@@ -142,6 +161,28 @@
             self._loop.create_connection(lambda: _Connection(self, host), *host.address))
         attempt.dial.add_done_callback(partial(self._dialled, attempt))
         attempt.dial_timer = self._loop.call_later(self._dial_s, self._dial_overdue, attempt)
+        self._watch_write(attempt)
+
+    def _watch_write(self, attempt: Attempt) -> None:
+        """End an attempt that is not written whole by its last moment: its request is answered then."""
+        if attempt.write_by < math.inf and attempt.write_timer is None:
+            attempt.write_timer = self._loop.call_later(
+                max(attempt.write_by - time.monotonic(), 0.0), self.withdraw, attempt)
+
+    def withdraw(self, attempt: Attempt) -> None:
+        """End an attempt whose last byte is not written: it never ran. Any other goes on."""
+        if not attempt.done and (attempt.connection is None or attempt.connection.unsent):
+            self._abandon(attempt)
+            self._end(attempt, api.WITHDRAWN)
+
+    def _holds(self, attempt: Attempt, host: _Host) -> bool:
+        """Whether what a decision went by still holds when its dial has come up."""
+        return self._takes(host) and time.monotonic() <= attempt.write_by and self._wanted(attempt)
+
+    def _begin(self, attempt: Attempt, connection: _Connection) -> None:
+        connection.begin(attempt)
+        if connection.unsent:
+            self._watch_write(attempt)
 
     def _room(self) -> bool:
         if len(self._connections) + self._dials < self._most:
@@ -167,13 +208,13 @@
     def _up(self, attempt: Attempt, host: _Host, connection: _Connection) -> None:
         if attempt.done or self._stopped:
             connection.drop()
-        elif not self._takes(host) or not self._wanted(attempt):  # asked when we write: dials come up late
+        elif not self._holds(attempt, host):  # dials come up late
             connection.drop()
             self._end(attempt, api.WITHDRAWN)  # unless the client's leaving has ended it already
         elif connection.transport.is_closing():  # it broke before this turn of the loop
             self._end(attempt, api.UNSENT)
         else:
-            connection.begin(attempt)
+            self._begin(attempt, connection)
 
     def _overdue(self, attempt: Attempt) -> None:
         # Guards against our own stall: the answer may be here and unread. Timers run before sockets are read,
@@ -211,8 +252,9 @@
             return
         attempt.done = True
         attempt.connection = None
-        if attempt.timer is not None:
-            attempt.timer.cancel()
+        for timer in (attempt.timer, attempt.write_timer):
+            if timer is not None:
+                timer.cancel()
         self._ended(attempt, result, reply)
 
     # From connections
@@ -293,7 +335,7 @@
         """Write an attempt's request."""
         self.attempt, attempt.connection = attempt, self
         self.kept = self.idle_since > 0
-        self.write(attempt.payload)
+        self.write(attempt.payload(time.monotonic()))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import hashlib
+import math
 import random
 from collections import deque
 from itertools import islice
@@ -89,6 +90,7 @@
         if server.up_since_ms > self.born:
             self.born = self.cold_from_ms = server.up_since_ms
             self.strikes = self.fails = 0
+            self.credit = 0.0  # what was left of an earlier start's budget is not this one's
             self.down_until, self.died, self.slow = 0.0, False, 1.0
 
 
@@ -732,14 +734,22 @@
         risky = [a for a in held.attempts if a.ran]
         if not risky or held.cls.effect == "safe":
             return True
-        if held.cls.effect == "unsafe":
-            return False
-        if self.now - risky[0].sent > held.cls.window_ms - 2 * self.s.tick_ms:
+        if held.cls.effect == "unsafe" or self._window_left(held) < 0:
             return False
         scope = held.cls.key_scope
         return scope == "all" or all(
             a.host.zone == host.zone and (scope == "zone" or a.host.cell == host.cell) for a in risky)
 
+    def _window_left(self, held: _Held) -> float:
+        """How long a repeat may still be written: the window runs from the first attempt that may have run.
+
+        Reckoned from that attempt's decision, which no byte of it can come before.
+        """
+        first = next((a.sent for a in held.attempts if a.ran), None)
+        if first is None or held.cls.effect != "keyed":
+            return math.inf
+        return first + held.cls.window_ms - 2 * self.s.tick_ms - self.now
+
     def _send(self, held: _Held, host: _Host) -> None:
         """One attempt, given up when it can no longer be in time, or when it is better asked for again.
 
@@ -751,13 +761,14 @@
         if (self.lost > LOST and held.cls.effect != "unsafe" and self.bank >= 1
                 and len(held.attempts) + 1 < self.s.try_limit and early + self._usual(held) < timeout):
             timeout = early
+        write_by = self._window_left(held)
         held.attempts.append(_Attempt(host, self.now))
         host.open += 1
         if self._warmth(host) < 1:
             host.credit -= held.work
         else:
             self.warm_work += held.work
-        self.out.append(api.Send(held.req.id, host.name, timeout))
+        self.out.append(api.Send(held.req.id, host.name, timeout, write_by))
 
     def _answer(self, held: _Held) -> None:
         """The final answer of a request that will not be served."""
