Tell every change within 6 s of when discovery can be reached, where it must be asked

Cause, by reading and by a play of the state machine over a fake clock: a watch waited 20 s and 1 s more, so its silence was found out at 21 s; a first call was spread over 8 s; a call turned away rested up to 30 s; a dial and its call had 3 s of patience each, with a rest of 2 s. Change: one bound, ROUND_S, from the begin of a call to that of the next (2.8 s), and patience that adds up to 5.7 s at any size of the fleet; what that asks of discovery stands in `Discovery` (100 and 335 waits a second for 200 and 670 gateways, 36 and 120 answers a second after an outage). A whole list that is coming in is not given up. Pushed lists are as before.

--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -13,7 +13,7 @@
 from yewstage import interface as api
 from yewstage.net.config import Config
 from yewstage.net.counter import Counter
-from yewstage.net.discovery import Discovery, Listing
+from yewstage.net.discovery import ROUND_S, Discovery, Listing
 from yewstage.net.hosts import Attempt, Hosts
 from yewstage.net.http1 import Reply
 from yewstage.policy import Gateway
@@ -46,11 +46,11 @@
     """Over what time the fleet's first calls to discovery are spread, where it must be asked.
 
     It serves calls in turn, and works on those that nobody waits for any more: what a fleet asks at once
-    keeps it busy with the dead. Who asks too late counts as told all the same.
+    keeps it busy with the dead. Who asks too late counts as told all the same, so within a round.
     """
     if not config.settings.must_ask:
         return 0.0
-    return min(LIST_CALL_S * config.settings.fleet_size, ASK_SHARE * config.ask_within_ms / 1000)
+    return min(LIST_CALL_S * config.settings.fleet_size, ASK_SHARE * config.ask_within_ms / 1000, ROUND_S)
 
 
 class Client(Protocol):
--- a/yewstage/net/discovery.py
+++ b/yewstage/net/discovery.py
@@ -14,16 +14,22 @@
 
 log = logging.getLogger(__name__)
 
-WAIT_MS = 20000  # where discovery must be asked, and each call has its price
-AGENT_WAIT_MS = 2000  # where an agent on this machine answers: a call costs nothing, a silent watch drains
+# A change counts as told 6 s after discovery had it and could be reached, whatever came before. So a watch,
+# and a call with the rest after it, take ROUND_S at most, and what is asked next is dialled and answered (or
+# given up) within DIAL_S + CALL_S: 2.8 + 0.1 + 0.6 + 2.2 = 5.7 s from the worst moment on, however large the
+# fleet.
+ROUND_S = 2.8  # from the begin of one call to that of the next, where discovery must be asked
+DIAL_S = 0.6  # how long a dial to it may take
+CALL_S = 2.2  # how long an answer may take that discovery has to work for, with others in its line
+WAIT_MS = 2000  # how long a call may wait there, and where an agent on this machine answers
+WHOLE_S = 30.0  # how long a whole list may take while more of it comes: no other call would be quicker
+PROGRESS_S = 0.6  # how long nothing of it may come meanwhile
+OVERDUE_S = 0.6  # how long an answer may be overdue where a wait has ended
 CATCH_UP_MS = 1  # the first wait after a list of unknown age: its answer comes at once, also with no news
-SILENT_S = 3.0  # how long an answer may be overdue that discovery has to work for, with others in its line
-OVERDUE_S = 1.0  # the same where a wait has ended: what it missed counts as told 2 s after that end
-AGENT_S = 0.2  # the same for the agent, which answers at once: what it has counts as told, asked or not
+AGENT_S = 0.2  # overdue with the agent, which answers at once: what it has counts as told, asked or not
 GRACE_S = 0.002  # a turn of the loop or two, in which what has arrived is read before it counts as missing
-BACKOFF_S, BACKOFF_MAX_S = 0.05, 2.0
-AGENT_BACKOFF_MAX_S = 0.1  # a call to the agent is free, and its first word after a silence is urgent
-CROWD_MAX_S = 30.0  # the longest backoff after discovery has turned a call away
+BACKOFF_S = 0.05
+REST_S = 0.1  # a rest that a round always has room for; a call to the agent is free: the longest after one
 STATES = {"ready": "up", "draining": "draining", "gone": "removed"}
 
 
@@ -79,9 +85,12 @@
     backoff with full jitter. Danger: gateways that start or lose discovery together would come again in step
     for good, find its line full each time, and each learn of drains and new hosts never.
 
-    A watch that has fallen silent looks like one that has no news. What it misses counts as told 6 s after it
-    fell silent, or 2 s after its wait ends if that is later, so a watch is opened anew well before both. What
-    was silent or broken is followed by a call that does not wait: its silence shows at once.
+    A watch that has fallen silent looks like one that has no news, so it waits for so short a time that
+    silence is found out, and what it missed asked for, within the 6 s after which a change counts as told.
+    What was silent or broken is followed by a call that does not wait: its silence shows at once.
+
+    What this asks of discovery for a fleet of N: N / 2 waits a second, and after an outage N answers within
+    5.6 s (36 a second for 200 gateways, 120 for 670). One that serves fewer cannot tell all in time.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int],
@@ -99,6 +108,8 @@
         self._dial: asyncio.Task | None = None
         self._timer: asyncio.TimerHandle | None = None  # the end of our patience, or of a rest
         self._failures = self._turned_away = 0
+        self._began = 0.0  # when the last call was begun, with its dial
+        self._taken = 0  # bytes of its answer that had come when its silence was last looked at
         self._stopped = False
 
     def start(self) -> None:
@@ -133,10 +144,11 @@
     def _ask(self) -> None:
         if self._stopped:
             return
+        self._began, self._taken = self._loop.time(), 0
         if self._connection is not None:
             self._write(self._connection)
             return
-        self._watch_silence(self._patience_s(CATCH_UP_MS))
+        self._watch_silence(AGENT_S if self._pushed else DIAL_S)
         self._dial = self._loop.create_task(
             self._loop.create_connection(lambda: _Watch(self), *self._address))
         self._dial.add_done_callback(self._dialled)
@@ -155,12 +167,12 @@
         if self._connection.closed:  # it broke before this turn of the loop, and was lost to nobody
             self.lost(self._connection)
         else:
-            self._ask()
+            self._write(self._connection)
 
     def _write(self, connection: _Watch) -> None:
         wait_ms = CATCH_UP_MS
         if self._fresh:
-            wait_ms = AGENT_WAIT_MS if self._pushed else WAIT_MS
+            wait_ms = WAIT_MS
         query = "" if self._generation is None else f"?after={self._generation}&wait_ms={wait_ms}"
         self._watch_silence(self._patience_s(wait_ms))
         connection.write(f"GET /v1/endpoints{query} HTTP/1.1\r\nHost: discovery\r\n\r\n".encode())
@@ -170,7 +182,7 @@
         if self._pushed:
             return wait_ms / 1000 + AGENT_S
         # A call that does not wait stands in discovery's line; one whose wait has ended was served before.
-        return wait_ms / 1000 + (OVERDUE_S if wait_ms > CATCH_UP_MS else SILENT_S)
+        return wait_ms / 1000 + OVERDUE_S if wait_ms > CATCH_UP_MS else CALL_S
 
     def _watch_silence(self, seconds: float) -> None:
         if self._timer is not None:
@@ -182,6 +194,9 @@
         self._timer = self._loop.call_later(GRACE_S, self._given_up)
 
     def _given_up(self) -> None:
+        if self._comes_in():
+            self._watch_silence(PROGRESS_S)
+            return
         # Guards against an agent that is silent for good: without this the watch would hang on one socket.
         if not self._silent:
             log.warning("discovery: no answer, asking again; the list is kept")
@@ -191,6 +206,13 @@
         elif self._connection is not None:
             self._connection.drop()
 
+    def _comes_in(self) -> bool:
+        """Whether more of a whole list has come since this was asked last. A long one takes its time."""
+        if self._connection is None or self._generation is not None:
+            return False
+        before, self._taken = self._taken, self._connection.taken()
+        return self._taken > before and self._loop.time() < self._began + WHOLE_S
+
     def replied(self, connection: _Watch, reply: Reply, reusable: bool) -> None:
         """An answer: hand it on and ask for what comes next at once."""
         if connection is not self._connection:
@@ -232,10 +254,11 @@
         if self._stopped:
             return
         self._failures += 1
-        most = AGENT_BACKOFF_MAX_S if self._pushed else BACKOFF_MAX_S
-        wait = min(BACKOFF_S * 2 ** min(self._failures, 10), most)
+        wait = BACKOFF_S * 2 ** min(self._failures, 10)
         if self._turned_away and self._spread_s:
-            wait = min(self._spread_s * 2 ** min(self._turned_away - 1, 10), CROWD_MAX_S)
+            wait = self._spread_s * 2 ** min(self._turned_away - 1, 10)
+        left = 0.0 if self._pushed else self._began + ROUND_S - self._loop.time()
+        wait = min(wait, max(left, REST_S))  # a slow failure has used up its round
         self._timer = self._loop.call_later(wait * self._rng.random(), self._ask)
 
 
--- a/yewstage/net/http1.py
+++ b/yewstage/net/http1.py
@@ -78,6 +78,10 @@
         """Whether any byte of the answer that is due has come."""
         return self._taken > 0
 
+    def taken(self) -> int:
+        """How many bytes of it have."""
+        return self._taken
+
     def write(self, data: bytes) -> None:
         """Write one request, and know whether its last byte has left this process."""
         self._due += 1
