Hold the terms on gone clients, full descriptors and ready restarts by tests, and mend one

"A client that closes has gone": eight ways to a write (a total, a reset, a time-out, a kept connection that ended, behind unread bytes, another host, a pipelined request, a dial), each with the end unread in the kernel at the write. "Idle clients may fill the descriptors": held at 256, not by reckoning at the least limit of 128: clients 64, hosts 46, the program's own 23 and 5 more while SIGHUP moves discovery and the counter make 138. Change: hosts take what is left when clients and the own ones are off (34 at 128; nothing changes from 214 on); a system limit under 128 ends the start with a plain line. The shares live in `net/config.py` now.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -142,6 +142,7 @@
         self.behave = behave
         self.seen: list[Seen] = []
         self.opened = self.closed = 0  # connections; those that the other side ended
+        self.writers: set[asyncio.StreamWriter] = set()  # of the connections that are open
         self.changed = asyncio.Event()
 
     async def start(self) -> Fake:
@@ -151,6 +152,7 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.opened += 1
+        self.writers.add(writer)
         self.changed.set()
         try:
             while True:
@@ -167,6 +169,7 @@
             self.closed += 1
             self.changed.set()
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def until(self, ready: Callable[[Fake], bool]) -> None:
@@ -224,8 +227,10 @@
 class Rig:
     """The real program between fake hosts, a fake counter and a fake discovery."""
 
-    def __init__(self, folder: Path, *behaves: Behave, **limits: int) -> None:
-        self.folder, self.limits = folder, limits
+    def __init__(self, folder: Path, *behaves: Behave, asked: bool = False, fleet: int = 1,
+                 **limits: int) -> None:
+        """`asked`: the list comes only on request; `fleet`: its size, of which this is the first."""
+        self.folder, self.limits, self.asked, self.fleet = folder, limits, asked, fleet
         self.hosts = [Fake(b) for b in behaves]
         self.totals: dict[str, float] = {}
         self.counter = Fake(lambda seen: adding(seen, self.totals))
@@ -252,7 +257,8 @@
             "counter": f"{LOOP}:{self.counter.port}",
             "known": self.known,
             "settings": {
-                "grades": GRADES, "packages": PACKAGES, "fleet_size": 1, "me": 0, "zone": "a", "tick_ms": 4.0,
+                "grades": GRADES, "packages": PACKAGES, "fleet_size": self.fleet, "me": 0, "zone": "a",
+                "tick_ms": 4.0, "membership_mode": "on_request" if self.asked else "pushed",
                 "bounds": {"try_limit": 3, "cancel": True, "retry_after": True, "max_retry_after_ms": 1000.0,
                            "dial_timeout_ms": 250.0, "conn_idle_ms": 30000.0},
                 "family_info": {"may_count": True, "count_wait_ms": 30.0, "trued_up": True, "most_units": 4}}}
--- a/tests/test_acceptance_terms.py
+++ b/tests/test_acceptance_terms.py
@@ -3,18 +3,39 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import heapq
 import itertools
 import json
+import os
 import random
+import resource
+import socket
 import time
 from collections.abc import Callable, Iterator
+from pathlib import Path
 
 import pytest
-from conftest import KEYED, Driver, Fake, instance, of, on_loop, reply, server
+from conftest import (
+    GRADES,
+    KEYED,
+    LOOP,
+    PACKAGES,
+    Driver,
+    Fake,
+    Rig,
+    instance,
+    message,
+    of,
+    on_loop,
+    reply,
+    server,
+)
 from test_net_parts import Answers, Held, an_order, core_with
 
 from yewstage import interface as api
+from yewstage.net.clients import Server
+from yewstage.net.config import LEAST_SOCKETS, ConfigError, client_sockets, parse, upstream_sockets
 from yewstage.net.core import Core
 from yewstage.net.discovery import ROUND_S, Discovery, Listing, parse_listing
 from yewstage.net.http1 import Reply
@@ -176,6 +197,8 @@
     assert host.credit == 0
 
 
+READY_S = 5.0  # of the 10 s: a machine that starts many at once takes longer for each
+
 # --- Told within 6 s ---------------------------------------------------------------------------------------
 
 TOLD_S = 6.0
@@ -356,3 +379,211 @@
     world = World(("reset", *("slow",) * 140), random.Random(1), ROUND_S)
     world.play()
     assert 140 / world.reached < 1 / 2.0
+
+
+# --- A client that closes its connection has gone ----------------------------------------------------------
+
+
+class Front:
+    """The real server and core with a scripted module, a host, and clients on real connections.
+
+    What a test does between two awaits gives the loop no turn: a client's end is in the kernel, and unread.
+    """
+
+    def __init__(self, core: Core, script: object, host: Fake) -> None:
+        self.core, self.script, self.host = core, script, host
+        self.server = Server(core, asyncio.get_running_loop(), 1024)
+        self.address = self.server.start((LOOP, 0))
+
+    def client(self, *sent: bytes) -> socket.socket:
+        client = socket.create_connection(self.address)
+        for data in sent:
+            client.sendall(data)
+        return client
+
+    async def asked(self, count: int = 1) -> str:
+        """The id of the request that came last, once so many have."""
+        while len(asked := [e for e in self.script.events if isinstance(e, api.Request)]) < count:
+            await asyncio.sleep(0)
+        return asked[-1].id
+
+    async def nothing_more(self, begun: int) -> None:
+        """Nothing is begun at the host, however long the loop runs on: each of its steps is taken."""
+        for _ in range(50):
+            await asyncio.sleep(0.001)
+        assert len(self.host.seen) == begun, [s.line for s in self.host.seen]
+
+
+ONE = message(rid=b"0000000000000001")
+TWO = message(rid=b"0000000000000002")
+WAYS_TO_A_WRITE = ("waits for a total", "after a reset", "after a time-out", "behind unread bytes",
+                   "after a kept connection ended", "to another host")
+
+
+@pytest.mark.parametrize("way", WAYS_TO_A_WRITE)
+def test_a_client_that_has_closed_has_gone_whatever_leads_to_the_write(monkeypatch: pytest.MonkeyPatch,
+                                                                        way: str) -> None:
+    """Its end is in the kernel and nobody has read it when the module sends: nothing may be written."""
+    async def scenario() -> None:
+        host = Fake(lambda seen: b"" if way == "after a reset" else None)
+        core, script = await core_with(monkeypatch, host)
+        front = Front(core, script, host)
+        begun = 0
+        if way in ("after a reset", "after a time-out", "after a kept connection ended"):
+            script.plan[api.Request] = [api.Send("r1", "s-0", 30 if way == "after a time-out" else 5000)]
+        client = front.client(ONE)
+        rid = await front.asked()
+        if way in ("after a reset", "after a time-out", "after a kept connection ended"):
+            await host.until(lambda fake: len(fake.seen) == 1)
+            begun = 1
+        if way == "behind unread bytes":
+            client.sendall(TWO)  # the second one waits, and the end behind it is not read
+            client.sendall(b"GET /api/")
+        client.close()
+        if begun:
+            # The outcome and the client's end lie unread together, and the outcome is handled first.
+            attempt = core._requests[rid].attempts[0]
+            core._hosts._abandon(attempt)
+            script.plan[api.Outcome] = [api.Send(rid, "s-0", 5000)]
+            core._hosts._end(attempt, api.TIMED_OUT if way == "after a time-out" else api.RESET)
+        else:
+            script.plan[api.TimerDue] = [api.Send(rid, "s-0", 5000)]
+            core._post(api.TimerDue("x"))
+        assert script.outcomes()[-1] == api.MOOT and api.ClientLeft(rid) in script.events
+        await front.nothing_more(begun)
+        assert not core._requests
+        host.stop()
+    on_loop(scenario, 5)
+
+
+def test_a_pipelined_request_is_not_sent_on_for_who_has_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The answer to the first one and the client's end cross: the second one begins nothing."""
+    async def scenario() -> None:
+        host = Fake(lambda seen: None)
+        core, script = await core_with(monkeypatch, host)
+        front = Front(core, script, host)
+        client = front.client(ONE + TWO)
+        rid = await front.asked()
+        client.close()
+        script.plan[api.Request] = [api.Send("r2", "s-0", 5000)]
+        script.plan[api.TimerDue] = [api.Refuse(rid)]  # answered, so the second one is taken, in one turn
+        core._post(api.TimerDue("x"))
+        await front.nothing_more(0)
+        assert api.OK not in script.outcomes() and not core._requests
+        host.stop()
+    on_loop(scenario, 5)
+
+
+def test_a_dial_is_called_off_with_its_client(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The end is read while the dial is under way, or lies unread when it has come up."""
+    for read in (True, False):
+        async def scenario(read: bool = read) -> None:
+            host = Fake(lambda seen: None)
+            core, script = await core_with(monkeypatch, host)
+            core._hosts._loop = held = Held(core._loop)
+            front = Front(core, script, host)
+            script.plan[api.Request] = [api.Send("r1", "s-0", 5000)]
+            client = front.client(ONE)
+            await front.asked()
+            await host.until(lambda fake: fake.opened == 1)
+            if not read:
+                held.let_up.set()  # its end is told in the next turn
+            client.close()
+            await host.until(lambda fake: fake.closed == 1)
+            assert script.outcomes() == [api.WITHDRAWN] and not host.seen and not core._requests
+            host.stop()
+        on_loop(scenario, 5)
+
+
+# --- Idle clients may fill the descriptors while discovery is down -----------------------------------------
+
+
+@pytest.mark.parametrize("sockets", [LEAST_SOCKETS, 256])
+def test_idle_clients_that_fill_the_descriptors_leave_room_for_all_else(tmp_path: Path, sockets: int) -> None:
+    """The real program at the system's own limit: discovery, the counter and the hosts find a descriptor."""
+    async def scenario() -> None:
+        async with Rig(tmp_path, lambda seen: reply(b"served"), sockets=sockets) as rig:
+            folder = f"/proc/{rig.process.pid}/fd"
+            # Discovery and the counter go down, and clients come that hold their connections and say nothing.
+            rig.directory.fake.stop()
+            rig.counter.stop()
+            for fake in (rig.directory.fake, rig.counter):
+                for writer in list(fake.writers):
+                    writer.transport.abort()
+            async def hold() -> None:
+                while True:  # one that is shut comes again
+                    with contextlib.suppress(ConnectionError):
+                        reader, writer = await rig.connect()
+                        await reader.read()
+                        writer.close()
+                    await asyncio.sleep(0.05)
+
+            async def served(number: int) -> None:
+                """A request, again on a new connection if its own had to make room unread."""
+                while True:
+                    with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                        if await rig.status(message(rid=b"%016x" % number)) == 200:
+                            return
+                    number += 1
+            idle = [asyncio.create_task(hold()) for _ in range(2 * sockets)]
+            # What is full keeps its share of the descriptors for clients, and answers those who ask.
+            full = client_sockets(sockets)
+            while len(os.listdir(folder)) < full + 10:
+                await asyncio.sleep(0.01)
+            await served(0x100)
+            # Back at the same addresses: the dials must find descriptors though clients still hold theirs.
+            for fake in (rig.directory.fake, rig.counter):
+                opened = fake.opened
+                fake.server = await asyncio.start_server(fake._serve, LOOP, fake.port)
+                await fake.until(lambda fake, opened=opened: fake.opened > opened)
+                while len(os.listdir(folder)) < full + 10:  # and are as many again
+                    await asyncio.sleep(0.01)
+            await served(0x10000)
+            assert not [line for line in rig.log if "accept failed" in line or "Too many open" in line]
+            for task in idle:
+                task.cancel()
+    on_loop(scenario, 30)
+
+
+def test_every_share_of_the_descriptors_at_once_stays_under_the_least_limit(tmp_path: Path) -> None:
+    """What the program holds beside clients and hosts is read off the real one, when SIGHUP has moved all."""
+    async def scenario() -> None:
+        async with Rig(tmp_path, lambda seen: reply(b"served"), sockets=LEAST_SOCKETS) as rig:
+            await rig.reload([instance("s-0", rig.hosts[0].port)])
+            await rig.directory.fake.until(lambda fake: bool(fake.opened))
+            await rig.counter.until(lambda fake: fake.opened == 4)
+            own = len(os.listdir(f"/proc/{rig.process.pid}/fd"))  # the old ones count while they close
+            for sockets in (LEAST_SOCKETS, 200, 256, 576, 1024):
+                assert client_sockets(sockets) + upstream_sockets(sockets) + own + 5 <= sockets
+    on_loop(scenario)
+
+
+def test_a_system_limit_under_the_least_is_told_in_a_plain_line(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(resource, "getrlimit", lambda which: (64, 64))
+    with pytest.raises(ConfigError, match="the system allows 64 descriptors, 128 are needed"):
+        parse({"listen": f"{LOOP}:1", "discovery": f"{LOOP}:2", "seed": "1",
+               "settings": {"grades": GRADES, "packages": PACKAGES}})
+
+
+# --- Nine in ten restarted processes are ready within 10 s -------------------------------------------------
+
+
+@pytest.mark.parametrize("asked", [False, True])
+@pytest.mark.parametrize("discovery", ["silent", "refusing", "turning away", "resetting"])
+def test_a_restarted_process_is_ready_soon_however_discovery_fares(tmp_path: Path, asked: bool,
+                                                                    discovery: str) -> None:
+    """From the exec on, with the list it was configured with: its own waits count, not discovery's."""
+    async def scenario() -> None:
+        async with Rig(tmp_path, lambda seen: reply(b"served"), asked=asked, fleet=200) as rig:
+            rig.known = {"generation": 1, "reset": True, "instances": rig.directory.instances}
+            rig.process.kill()
+            await rig.process.wait()
+            if discovery == "refusing":
+                rig.directory.fake.stop()
+            answers = {"silent": None, "turning away": reply(b"", 503), "resetting": b""}
+            rig.directory.fake.behave = lambda seen: answers.get(discovery)
+            began = time.monotonic()
+            await rig.launch()  # returns once it is ready
+            assert time.monotonic() - began < READY_S
+            assert await rig.status(message(rid=b"restarted")) == 200
+    on_loop(scenario, 30)
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -15,6 +15,7 @@
 import httptools
 
 from yewstage import interface as api
+from yewstage.net.config import client_sockets
 from yewstage.net.core import Core, Order
 from yewstage.net.http1 import LONGEST_BODY
 from yewstage.net.peek import hung_up, readable
@@ -22,7 +23,6 @@
 log = logging.getLogger(__name__)
 
 BACKLOG = 256
-CLIENT_SHARE = 0.5  # of the descriptors
 LONGEST_HEAD = 32 * 1024
 LONGEST_FRAME = 2 * LONGEST_BODY  # a body as it stands on the wire, with its chunk lines
 MOST_AHEAD = 16  # requests that may wait behind the open one on a connection
@@ -401,7 +401,7 @@
         # Owed nothing, the longest first: those that have had an answer, and those still to be heard.
         self._kept: dict[ClientConnection, None] = {}
         self._unheard: dict[ClientConnection, None] = {}
-        self._most = int(CLIENT_SHARE * sockets)
+        self._most = client_sockets(sockets)
         self._socket: socket.socket | None = None
         self._accepting = False
         self._pending: set[asyncio.Task] = set()
--- a/yewstage/net/config.py
+++ b/yewstage/net/config.py
@@ -15,7 +15,11 @@
 Address = tuple[str, int]
 COUNT_PATIENCE = 3.0  # how long a counter call is waited for, in the time that the settings give it
 DEFAULT_SOCKETS = 1024
-LEAST_SOCKETS = 128  # leaves a reserve beside clients, hosts, counter, discovery and the loop's own
+LEAST_SOCKETS = 128
+CLIENT_SHARE, UPSTREAM_SHARE = 0.5, 0.36  # of the descriptors
+# Four connections to the counter and one to discovery, twice while SIGHUP moves them, the listener, the
+# streams and what the loop holds (13 seen), and some that are closed in this turn and free in the next.
+OWN_SOCKETS = 30
 
 
 class ConfigError(ValueError):
@@ -90,6 +94,16 @@
     return host.strip("[]"), int(port)
 
 
+def client_sockets(sockets: int) -> int:
+    """How many of the descriptors clients may hold."""
+    return int(CLIENT_SHARE * sockets)
+
+
+def upstream_sockets(sockets: int) -> int:
+    """How many connections to hosts may hold: discovery and the counter always find a descriptor."""
+    return min(int(UPSTREAM_SHARE * sockets), sockets - client_sockets(sockets) - OWN_SOCKETS)
+
+
 def _object(raw: Mapping[str, object], field: str) -> dict[str, object]:
     value = raw.get(field)
     if not isinstance(value, dict):
@@ -147,4 +161,7 @@
     if not isinstance(value, int) or value < LEAST_SOCKETS:
         raise ConfigError(f"limits.sockets: must be a whole number of {LEAST_SOCKETS} or more")
     allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]  # the system's own limit may be lower
+    if allowed != resource.RLIM_INFINITY and allowed < LEAST_SOCKETS:
+        raise ConfigError(f"limits.sockets: the system allows {allowed} descriptors, "
+                          f"{LEAST_SOCKETS} are needed")
     return value if allowed == resource.RLIM_INFINITY else min(value, allowed)
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -11,7 +11,7 @@
 from typing import Protocol
 
 from yewstage import interface as api
-from yewstage.net.config import Config
+from yewstage.net.config import Config, upstream_sockets
 from yewstage.net.counter import Counter
 from yewstage.net.discovery import ROUND_S, Discovery, Listing
 from yewstage.net.hosts import Attempt, Hosts
@@ -20,7 +20,6 @@
 
 log = logging.getLogger(__name__)
 
-UPSTREAM_SHARE = 0.36  # of the descriptors
 TRANSIT_MS = 4.0  # what a request may have spent on its way to us and its answer may on its way back
 GUARD_MS = 8.0  # the guard answers this long before the client's time is up
 MODULE_MS = 20.0  # the module is told of an end this much earlier, so that it comes first
@@ -103,7 +102,7 @@
         self._loop = loop
         self._clock = Clock()
         self._gateway = Gateway(config.settings, config.seed)
-        self._hosts = Hosts(loop, int(UPSTREAM_SHARE * config.sockets), config.dial_ms, config.idle_ms,
+        self._hosts = Hosts(loop, upstream_sockets(config.sockets), config.dial_ms, config.idle_ms,
                             self._ended, self._wanted)
         known = config.known.generation if config.known.servers else None
         # A generator of its own for the network's jitter: the module's draws stay a function of its events.
