Let the subsets of a fleet cover all hosts where there are many hosts to a gateway

Change: a subset has at least twice a gateway's part of the ring, as far as its traffic visits each host in 1.2 s. Result: 10 gateways of 30 requests a second cover all of 200 hosts twice; without it hosts are left (the test fails). At 200 gateways before 200 hosts nothing changes (twice the part is 2, the least size 6).

--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -198,3 +198,18 @@
         one, = of(out, api.Send)
         more = of(d.end(rid, api.RESET, took=5), api.Send)
         assert more and int(more[0].server[1:]) % 100 == int(one.server[1:]) % 100
+
+
+def test_no_host_is_left_that_nobody_works_with() -> None:
+    """20 hosts to a gateway, whose traffic alone would visit 15: the subsets cover the ring, and twice."""
+    reached: dict[str, int] = {}
+    for me in range(10):
+        d = Driver(servers=200, fleet_size=10, me=me, may_count=False)
+        for i in range(240):
+            rid, _ = d.ask(after=33)
+            d.end(rid, took=30)
+            if i % 3 == 0:
+                d.give(api.TimerDue("sweep"))
+        for host in d.gateway.subset.chosen(d.now).warm:
+            reached[host.name] = reached.get(host.name, 0) + 1
+    assert len(reached) == 200 and min(reached.values()) >= 1 and sum(reached.values()) >= 1.5 * 200
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -36,6 +36,7 @@
 DIAL = 1.7  # a host that needs a new connection counts as so much more loaded, where traffic keeps few
 PAIR_MS = 500.0  # a subset is so large that each of its hosts gets one request of ours in this time
 SUBSET_MIN, SUBSET_MOST = 6, 256  # its size in warm hosts that answer
+COVER, SPARSE_MS = 2.0, 1200.0  # gateways that should work with each host, while each visits it so often
 GROW, GROW_MOST, SHRINK = 1.02, 4.0, 0.99  # a pressed or failing subset grows by this a sweep, and back
 STEP = 1.25  # a subset changes its size by so much at once, or not: each change costs connections
 LOOK = 32  # hosts compared for one request: the least loaded of so many is as good as of all
@@ -1058,7 +1059,9 @@
         self.sends = 0
         pressed = self.f < 0.9 or self.many_fail or 2 * self.out_now > len(self.subset.warm)
         self.grow = min(self.grow * GROW, GROW_MOST) if pressed else max(self.grow * SHRINK, 1.0)
-        self.subset.resize(max(SUBSET_MIN, self.send_rate * PAIR_MS) * self.grow)
+        # Danger: subsets smaller than our part of the ring leave hosts that nobody works with.
+        cover = min(COVER * len(self.subset.ring) / self.s.fleet_size, self.send_rate * SPARSE_MS)
+        self.subset.resize(max(SUBSET_MIN, self.send_rate * PAIR_MS, cover) * self.grow)
         self.subset.round_ms = min(len(self.subset.warm) / max(self.send_rate, 1e-9), 10 * PAIR_MS) or PAIR_MS
         visits = self.send_rate * KEPT_SHARE * self.s.conn_idle_ms
         self.thin = visits < REUSE * len(self.subset.warm)
