Add a testbed: stand-ins, hollow gateways and a scale run that fits what grows with the list

It reports time, latency added, memory, messages, dials and connections by role and size, lines with their spread, the load over hosts, and the price of quotas at a crowded counter. Children end by their ids with their input, also after Ctrl-C. `Core` takes the class that sends attempts, so that the emulator needs no sockets for it.

--- /dev/null
+++ b/testbed/configuration.py
@@ -0,0 +1,75 @@
+"""Gateway configurations and host lists for a run, in the form that the configuration file has."""
+
+from __future__ import annotations
+
+from testbed.discovery import Instance
+
+ZONES = 5
+CELL = 6  # hosts to a cell
+CLASSES = [
+    {"name": "read", "objective_ms": 1000.0, "deadline_ms": 4000.0, "worth": 1.0, "effect": "safe"},
+    {"name": "order", "objective_ms": 1500.0, "deadline_ms": 4000.0, "worth": 3.0, "effect": "unsafe"},
+]
+BURST_S = 4.0  # a customer's burst, in seconds of its rate
+
+
+def instances(count: int, ports: list[str]) -> list[Instance]:
+    """`count` hosts, spread over zones, cells and the addresses that answer for them."""
+    return [
+        Instance(f"s-{i:06x}", ports[i % len(ports)], f"zone-{i % ZONES}", i // CELL) for i in range(count)
+    ]
+
+
+def raw(
+    *,
+    me: int,
+    fleet: int,
+    discovery: str,
+    counter: str,
+    asked: bool,
+    seed: int,
+    refill: float,
+    sockets: int = 1024,
+) -> dict:
+    """The object of one gateway's configuration file; `refill`: units a second of each customer's quota."""
+    plan = {
+        "name": "team",
+        "refill": refill,
+        "burst": BURST_S * refill,
+        "worth_factor": 1.0,
+        "over_cost": 1.0,
+    }
+    return {
+        "name": f"n{me}",
+        "listen": "127.0.0.1:0",
+        "discovery": discovery,
+        "counter": counter,
+        "seed": f"{seed + me:x}",
+        "limits": {"cores": 1.0, "memory_mb": 256, "sockets": sockets},
+        "settings": {
+            "grades": CLASSES,
+            "packages": [plan],
+            "fleet_size": fleet,
+            "me": me,
+            "zone": f"zone-{me % ZONES}",
+            "tick_ms": 2.0,
+            "membership_mode": "on_request" if asked else "pushed",
+            "rules": {
+                "stop_sending_within_ms": 250.0,
+                "cold_from": 0.2,
+                "cold_ms": 10000.0,
+                "fall_multiple": 2.5,
+                "tip_after_ms": 2000.0,
+                "must_ask_in_ms": 10000.0,
+            },
+            "bounds": {
+                "try_limit": 3,
+                "cancel": True,
+                "retry_after": True,
+                "max_retry_after_ms": 500.0,
+                "dial_timeout_ms": 250.0,
+                "conn_idle_ms": 30000.0,
+            },
+            "family_info": {"may_count": True, "count_wait_ms": 80.0, "trued_up": False, "most_units": 6},
+        },
+    }
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -97,12 +97,13 @@
 class Core:
     """Events of the sockets in, actions of the module out."""
 
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, hosts: type[Hosts] = Hosts) -> None:
+        """`hosts`: what sends attempts; an emulator may stand in for the sockets."""
         self.settings = config.settings
         self._loop = loop
         self._clock = Clock()
         self._gateway = Gateway(config.settings, config.seed)
-        self._hosts = Hosts(loop, upstream_sockets(config.sockets), config.dial_ms, config.idle_ms,
+        self._hosts = hosts(loop, upstream_sockets(config.sockets), config.dial_ms, config.idle_ms,
                             self._ended, self._wanted)
         known = config.known.generation if config.known.servers else None
         # A generator of its own for the network's jitter: the module's draws stay a function of its events.
