Reckon a cold host's budget by what was let in, not by what the few warm hosts got

Cause: with agreed subsets the budget of cold hosts was bounded by the work sent to warm ones, shared over all hosts of the subset; during a release that replaces all hosts that work falls with what is refused, and the budget with it. Change: the bound is margin x the work let in, sent on or not, for each host of the subset; the fleet's turns by the clock are for the first second alone. The tests that set the yardstick by hand set the new one, with the same figures; each gateway has its own number now.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -501,9 +501,10 @@
 def test_cold_budget_by_hand() -> None:
     d = Driver(servers=1)
     gw = d.gateway
-    gw.warm_rate = 0.1  # work sent to a warm host each ms
+    d.sweep(20)  # past the time in which it has no yardstick of its own
     d.give(api.ServerList("full", (server(9, up_since_ms=d.now - 5000),)))
-    cold = gw.hosts["h9"]
+    cold = gw.subset.chosen(d.now).cold[0]
+    gw.let_in_rate = 0.1 / (policy.COLD_MARGIN * 3)  # work let in each ms, for the only host there is
     saved = 0.2 * 0.1 * 2000 / 2  # at most half a span's worth is saved up
     assert gw._cold_room(cold, 0.2, saved - 0.1)
     gw.latency["read"] = saved / 4.5
@@ -516,9 +517,11 @@
     sent = 0
     for i in range(300):
         d = Driver(servers=1, seed=i, fleet_size=300)
-        d.gateway.warm_rate, work = 0.1, 0.36 * 0.1 * 1000 / part  # 2 of 10 s: at least 0.36 warm
+        d.sweep(20)
+        let_in = 0.1 / (policy.COLD_MARGIN * 3)
+        work = 0.36 * 0.1 * 1000 / part  # 2 of 10 s: at least 0.36 warm
         d.give(api.ServerList("full", (server(9, up_since_ms=d.now - 2000),)))
-        d.gateway.latency["read"] = work
+        d.gateway.latency["read"], d.gateway.let_in_rate = work, let_in
         sent += any(of(d.ask()[1], api.Send) for _ in range(10))
     assert abs(sent - 300 * part) < 3 * (300 * part * (1 - part)) ** 0.5 + 1
 
@@ -526,7 +529,7 @@
 def test_fleet_without_a_yardstick_sends_a_cold_host_lone_requests() -> None:
     sent = 0
     for i in range(300):
-        d = Driver(servers=1, seed=i, fleet_size=300)
+        d = Driver(servers=1, seed=i, fleet_size=300, me=i)
         d.give(api.ServerList("full", (server(9, up_since_ms=d.now),)))
         sent += len(of(d.ask()[1], api.Send))
     assert sent <= 5
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -325,7 +325,7 @@
         self.mid, self.many_fail = 1.0, False  # the hosts' median slowness; whether over half of them fail
         self.done = self.done_rate = 0.0  # good completions since the last sweep, and per ms
         self.warm_work = self.warm_rate = 0.0  # work sent to warm hosts, and per ms and host
-        self.warm_n = 1  # warm hosts when that was reckoned last
+        self.let_in = self.let_in_rate = 0.0  # work let in, whether or not a host was free for it, and per ms
         self.sends, self.send_rate = 0, 0.0  # since the last sweep, and per ms
         self.grow, self.thin = 1.0, True  # of the subset; whether our traffic keeps few connections
         self.trials = TRIAL_BANK  # requests that may try a failing host
@@ -452,6 +452,7 @@
             self._refuse_new(req, use, over)
             return
         held = _Held(req, cls, use, aim_at, end_at, self.latency[cls.name] * max(req.units, 0.0))
+        self.let_in += held.work
         host = self._pick(held) if held.aim_at > self.now else None
         if host is None:
             self._refuse_new(req, use, over)
@@ -754,13 +755,15 @@
         what the fleet sends to one, times warmth. Danger: parts under one request; one for each gateway would
         tip the host, none leave it idle. Hurts: those with no yardstick yet send lone requests in turn only.
         """
-        if self.warm_rate <= 0:
+        if self.warm_rate <= 0 and self.now - self.born < RATE_MEMORY_MS:
             return host.open == 0 and self._our_turn(host, warmth)
         margin = COLD_MARGIN * self.s.fall_multiple
         # Danger: with most hosts cold the warm ones are sent more than any can bear, until latency tells. So
-        # the load counts as well that each would have if all were warm.
-        even = self.warm_rate * min(self.warm_n / max(len(self.subset), 1), 1.0)
-        rate = warmth * min(min(margin, 1.0) * (self.warm_rate if self.subset.warm else even), margin * even)
+        # what each would have if all were warm bounds it, by what was let in, sent on or not.
+        rate = margin * self.let_in_rate / max(len(self.subset), 1)
+        if self.subset.warm and self.warm_rate > 0:
+            rate = min(rate, min(margin, 1.0) * self.warm_rate)
+        rate *= warmth
         span = self.now - max(host.credit_at, host.cold_from_ms)
         host.credit = min(host.credit + rate * span, rate * self.s.tip_after_ms / 2)
         host.credit_at = self.now
@@ -1032,8 +1035,7 @@
         self.mid = max(slow[len(slow) // 2], 1.0) if slow else 1.0
         self.many_fail = 2 * len(subset.failing) > len(slow)
         if subset.warm:
-            self.warm_n = len(subset.warm)
-            self.warm_rate = keep * self.warm_rate + (1 - keep) * self.warm_work / span / self.warm_n
+            self.warm_rate = keep * self.warm_rate + (1 - keep) * self.warm_work / span / len(subset.warm)
         self.done = self.warm_work = 0.0
         out = self.out_now / max(len(self.hosts), 1)
         self.per_host = keep * self.per_host + (1 - keep) * out
@@ -1056,7 +1058,8 @@
         memory = min(SUBSET_MEMORY_MS, self.now - self.born)
         keep = memory / (memory + span)
         self.send_rate = keep * self.send_rate + (1 - keep) * self.sends / span
-        self.sends = 0
+        self.let_in_rate = keep * self.let_in_rate + (1 - keep) * self.let_in / span
+        self.sends, self.let_in = 0, 0.0
         pressed = self.f < 0.9 or self.many_fail or 2 * self.out_now > len(self.subset.warm)
         self.grow = min(self.grow * GROW, GROW_MOST) if pressed else max(self.grow * SHRINK, 1.0)
         # Danger: subsets smaller than our part of the ring leave hosts that nobody works with.
