Let the scale run replace hosts, count real connections, and answer counter calls late

For each size: how long until every hollow gateway knew of hosts that were replaced, and what that cost; bytes from discovery at the start; dials and connections of the real gateways. `--discovery-calls` bounds a discovery that must be asked.

--- a/testbed/cli.py
+++ b/testbed/cli.py
@@ -34,6 +34,7 @@
 @click.option("--seconds", type=click.FloatRange(1.0, MOST_SECONDS), help="How long each load lasts.")
 @click.option("--rate", type=click.FloatRange(0.1, 1000.0), help="Requests a second of each gateway.")
 @click.option("--real-rate", type=click.FloatRange(0.1, 2000.0), help="Requests a second of a real one.")
+@click.option("--discovery-calls", type=click.FloatRange(1.0), help="A second, where it must be asked.")
 @click.option(
     "--skew", type=click.FloatRange(0.1, 1000.0), help="Shape of the gateways' shares; 1000 is even."
 )
--- a/testbed/counter.py
+++ b/testbed/counter.py
@@ -9,6 +9,8 @@
 
 from testbed.http import Call, Traffic, answer
 
+LATE_S = 2.0  # after this an answer has timed out at every caller
+
 
 class Counts:
     """Numbers by name on a few parts, each of which serves calls in turn and turns away beyond its line."""
@@ -21,6 +23,7 @@
         self.traffic = Traffic()
         self.calls = self.away = 0
         self.turned_away, self._line_s = turned_away, line_s
+        self.late = 0.0  # part of the calls that are added in their turn, and answered when nobody waits
         self._each_s = parts / calls_per_s
         self._free_at = [0.0] * parts
         self._totals: dict[str, tuple[float, float]] = {}  # total, when it is forgotten
@@ -56,4 +59,8 @@
         if now >= until:
             total, until = 0.0, now + life_s
         self._totals[name] = (total + amount, until)
-        call.answer(answer(200, f"{total + amount:.7g}".encode()))
+        reply = answer(200, f"{total + amount:.7g}".encode())
+        if self._rng.random() < self.late:
+            asyncio.get_running_loop().call_later(LATE_S, call.answer, reply)
+        else:
+            call.answer(reply)
--- a/testbed/hollow.py
+++ b/testbed/hollow.py
@@ -157,6 +157,10 @@
         """Open connections to hosts, and dials so far."""
         return self._hosts.connections(), self._hosts.dials
 
+    def generation(self) -> int:
+        """Of the list that it knows, 0 for none."""
+        return self._discovery._generation or 0
+
 
 class HollowFleet:
     """All hollow gateways of one process, with the load on them."""
@@ -190,6 +194,10 @@
         """How many are."""
         return sum(core.ready() for core in self.cores)
 
+    def behind(self, generation: int) -> int:
+        """How many do not know the list of that generation yet."""
+        return sum(core.generation() < generation for core in self.cores)
+
     def stop(self) -> None:
         """Close everything."""
         for core in self.cores:
--- a/testbed/plan.py
+++ b/testbed/plan.py
@@ -19,6 +19,7 @@
     real_rate: float = 122.0  # of each real gateway
     skew: float = 1.0  # shape of a gateway's share of the traffic: the smaller, the more uneven
     asked: bool = False  # the list comes only on request
+    discovery_calls: float = 400.0  # a second that discovery serves where it must be asked
     turned_away: float = 0.6  # part of the counter calls turned away while quotas are priced
     seed: int = 1
 
@@ -57,6 +58,15 @@
     idle_bytes_per_s: float | None = None
 
 
+class Change(msgspec.Struct, frozen=True, kw_only=True):
+    """What replacing some hosts at once took, with no load beside it."""
+
+    hosts_replaced: int
+    told_s: float  # until all hollow gateways knew
+    bytes_each: float  # from discovery, for each gateway
+    cpu_ms_each: float  # of a hollow gateway
+
+
 class Size(msgspec.Struct, frozen=True, kw_only=True):
     """All roles with one number of hosts."""
 
@@ -65,6 +75,8 @@
     roles: list[Role]
     load_max_over_mean: float  # requests of the busiest host over the mean, hollow gateways
     whole_list_bytes: int
+    start_bytes_each: float  # from discovery, for each gateway, until all were ready
+    change: Change | None
 
 
 class Fit(msgspec.Struct, frozen=True, kw_only=True):
--- a/testbed/report.py
+++ b/testbed/report.py
@@ -52,14 +52,28 @@
         roles.add_section()
     console.print(roles)
     spread = Table(title="Load over the hosts, and the whole list")
-    for name in ("hosts", "busiest / mean", "whole list KB", "ready after s"):
+    for name in (
+        "hosts",
+        "busiest / mean",
+        "whole list KB",
+        "ready after s",
+        "KB at the start",
+        "replaced",
+        "told after s",
+        "KB for it",
+    ):
         spread.add_column(name, justify="right")
     for size in report.sizes:
+        change = size.change
         spread.add_row(
             str(size.hosts),
             _figure(size.load_max_over_mean, 2),
             _figure(size.whole_list_bytes / 1024),
             _figure(size.start_s, 2),
+            _figure(size.start_bytes_each / 1024),
+            _figure(change and change.hosts_replaced, 0),
+            _figure(change and change.told_s, 2),
+            _figure(change and change.bytes_each / 1024),
         )
     console.print(spread)
     if report.fits:
--- a/testbed/role.py
+++ b/testbed/role.py
@@ -53,8 +53,10 @@
             self.it.change([msgspec.structs.replace(i, lifecycle="gone") for i in gone] + heirs)
         elif command["do"] == "turn_away":
             self.it.turned_away = command["part"]
+        elif command["do"] == "late":
+            self.it.late = command["part"]
         out = dict(self.it.traffic.read())
-        for name in ("whole", "changes", "empty", "away", "calls", "whole_bytes"):
+        for name in ("whole", "changes", "empty", "away", "calls", "whole_bytes", "generation"):
             if hasattr(self.it, name):
                 out[name] = getattr(self.it, name)
         return out
@@ -97,6 +99,8 @@
         match command["do"]:
             case "ready":
                 return {"ready": fleet.ready()}
+            case "known":
+                return {"behind": fleet.behind(command["generation"])}
             case "load":
                 fleet.stub = command.get("stub", False)
                 asked, served = fleet.asked, fleet.served
--- a/testbed/scale.py
+++ b/testbed/scale.py
@@ -22,7 +22,7 @@
 from testbed import configuration
 from testbed.children import ROOT, Child, ChildError, Children
 from testbed.fit import line
-from testbed.plan import Fit, Latency, Plan, Quotas, Report, Role, Size
+from testbed.plan import Change, Fit, Latency, Plan, Quotas, Report, Role, Size
 from testbed.quotas import reckon
 
 EACH = 100  # hollow gateways to a process
@@ -83,7 +83,10 @@
             )
         ports = [a for child in self.stands for a in child.facts["addresses"]] or ["127.0.0.1:9"]
         listed = msgspec.to_builtins(configuration.instances(self.hosts, ports))
-        self.discovery = await start("discovery", {"role": "discovery", "instances": listed})
+        calls = plan.discovery_calls if plan.asked else 0.0
+        self.discovery = await start(
+            "discovery", {"role": "discovery", "instances": listed, "calls_per_s": calls}
+        )
         self.counter = await start("counter", {"role": "counter", "calls_per_s": COUNTER_CALLS_PER_S})
         self.stands += [self.discovery, self.counter]
         common = {
@@ -141,6 +144,8 @@
     async def read(self) -> dict[str, Any]:
         """Processor time by child and traffic by stand-in, now."""
         traffic = {c.kind: await c.ask(10, do="read") for c in (self.discovery, self.counter)}
+        hosts = [await c.ask(10, do="read") for c in self.stands if c.kind == "hosts"]
+        traffic["hosts"] = {name: sum(h[name] for h in hosts) for name in ("opened", "open")}
         return {"at": time.monotonic(), "cpu": {c: c.cpu_s() for c in self.children.all}, "traffic": traffic}
 
     async def load(self, seconds: float, **more: Any) -> list[dict[str, Any]]:
@@ -173,6 +178,7 @@
         await asyncio.sleep(0.5)
         say(f"{hosts} hosts: idle")
         quiet = await fleet.read()
+        start_bytes = quiet["traffic"]["discovery"]["bytes"] / fleet.fleet
         await asyncio.sleep(max(plan.seconds / 2, 1.0))
         idle = await fleet.read()
         say(f"{hosts} hosts: the load's own cost")
@@ -192,6 +198,8 @@
             roles=roles,
             load_max_over_mean=max(load.values(), default=0) / mean if mean else 0.0,
             whole_list_bytes=loaded["traffic"]["discovery"]["whole_bytes"],
+            start_bytes_each=start_bytes,
+            change=await _change(fleet, say) if fleet.hollow else None,
         )
         quotas = await _price(fleet, say) if priced and fleet.hollow else None
         return size, quotas
@@ -248,6 +256,9 @@
                 cpu_s=spent,
                 cpu_us_per_request=(spent - rest * load_s) / max(theirs["asked"], 1) * 1e6,
                 cpu_us_per_idle_s=rest / len(real) * 1e6,
+                dials_per_request=(loaded["traffic"]["hosts"]["opened"] - idle["traffic"]["hosts"]["opened"])
+                / max(theirs["asked"], 1),
+                connections=loaded["traffic"]["hosts"]["open"] / len(real),
                 added_ms=latency([theirs["added"]]),
                 memory_mb=sum(c.memory_mb() for c in real) / len(real),
             )
@@ -272,6 +283,29 @@
     return roles
 
 
+async def _change(fleet: Fleet, say: Callable[[str], None]) -> Change:
+    """Replace a fiftieth of the hosts at once, and wait until every hollow gateway knows."""
+    count = max(fleet.hosts // 50, 1)
+    say(f"{fleet.hosts} hosts: {count} are replaced")
+    before = await fleet.read()
+    generation = (await fleet.discovery.ask(60, do="change", count=count))["generation"]
+    began = time.monotonic()
+    while any([(await c.ask(60, do="known", generation=generation))["behind"] for c in fleet.hollow]):
+        if time.monotonic() - began > READY_S:
+            raise ChildError(f"a change was not told everywhere within {READY_S:g} s")
+        await asyncio.sleep(0.01)
+    told_s = time.monotonic() - began
+    await asyncio.sleep(1.0)
+    after = await fleet.read()
+    sent = after["traffic"]["discovery"]["bytes"] - before["traffic"]["discovery"]["bytes"]
+    return Change(
+        hosts_replaced=count,
+        told_s=told_s,
+        bytes_each=sent / fleet.fleet,
+        cpu_ms_each=_spent(before, after, fleet.hollow) / fleet.plan.gateways * 1000,
+    )
+
+
 async def _price(fleet: Fleet, say: Callable[[str], None]) -> Quotas:
     plan = fleet.plan
     say(f"quotas with {plan.turned_away:.0%} of the counter's calls turned away")
--- a/tests/test_testbed.py
+++ b/tests/test_testbed.py
@@ -110,6 +110,15 @@
         it.turned_away = 0.0  # what was turned away was not added
         assert await ask(server, one) == [(200, f"{5 + 2.5 * (501 - away):.7g}".encode())]
 
+        it.late, calls = 1.0, it.calls  # added, and answered when nobody waits for it
+        asked = asyncio.create_task(ask(server, "POST /v1/count/late?add=1&ttl_ms=60000"))
+        while "late" not in it._totals:
+            await asyncio.sleep(0)
+        assert it.calls == calls + 1 and not asked.done()
+        it.late = 0.0
+        assert await ask(server, "POST /v1/count/late?add=1&ttl_ms=60000") == [(200, b"2")]
+        asked.cancel()
+
     on_loop(scenario)
 
 
@@ -273,6 +282,8 @@
             assert role.served > 0 and role.memory_mb > 0 and role.cpu_us_per_idle_s > 0
             assert role.added_ms.p50 <= role.added_ms.p99 <= role.added_ms.p999
         assert by_role["counter"].messages_per_s > 0 and by_role["discovery"].messages_per_s > 0
+        assert size.change.hosts_replaced >= 1 and 0 < size.change.told_s < 4 and size.change.bytes_each > 100
+        assert by_role["real gateway"].connections >= 1 and size.start_bytes_each > size.whole_list_bytes
         assert size.load_max_over_mean >= 1 and size.whole_list_bytes > 100 * size.hosts
     assert {fit.figure for fit in report.fits} >= {"hollow gateway: cpu_us_per_request", "whole list"}
     assert all(fit.extrapolated for fit in report.fits)
