--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -11,7 +11,15 @@
 
 from yewstage.net import config as configuration
 from yewstage.net.core import list_spread_s
-from yewstage.net.discovery import BACKOFF_S, ROUND_S, Discovery, Listing
+from yewstage.net.discovery import (
+    BACKOFF_S,
+    CALL_S,
+    PROGRESS_S,
+    ROUND_S,
+    WHOLE_S,
+    Discovery,
+    Listing,
+)
 from yewstage.net.http1 import Reply
 
 
@@ -241,3 +249,27 @@
     config = configuration.parse(raw)
     settings = dataclasses.replace(config.settings, must_ask=must_ask)
     assert list_spread_s(dataclasses.replace(config, settings=settings)) == pytest.approx(spread_s)
+
+
+def test_a_whole_list_that_is_coming_in_is_not_given_up_under_its_bytes() -> None:
+    loop = Loop()
+    it = watch(loop, 1, [], None)
+    it.start()
+    connection = loop.up(it)
+    came = iter([1000, 2000, 3000])
+    connection.taken = lambda: next(came, 3000)
+    began = loop.now
+    while not connection.dropped:
+        loop.fire()
+    assert CALL_S + 3 * PROGRESS_S <= loop.now - began < CALL_S + 3 * PROGRESS_S + 0.1  # once no more comes
+
+
+def test_a_whole_list_that_never_ends_is_given_up() -> None:
+    loop = Loop()
+    it = watch(loop, 1, [], None)
+    it.start()
+    connection = loop.up(it)
+    connection.taken = lambda: int(1000 * loop.now) + 1
+    while not connection.dropped:
+        loop.fire()
+    assert WHOLE_S <= loop.now < WHOLE_S + 2 * PROGRESS_S
