--- a/testbed/configuration.py
+++ b/testbed/configuration.py
@@ -10,9 +10,15 @@
     {"name": "read", "objective_ms": 1000.0, "deadline_ms": 4000.0, "worth": 1.0, "effect": "safe"},
     {"name": "order", "objective_ms": 1500.0, "deadline_ms": 4000.0, "worth": 3.0, "effect": "unsafe"},
 ]
+MOST_UNITS = 6  # of a request
 BURST_S = 4.0  # a customer's burst, in seconds of its rate
 
 
+def burst(refill: float) -> float:
+    """Units that a customer's store holds: the largest request fits, however seldom one comes."""
+    return max(BURST_S * refill, float(MOST_UNITS))
+
+
 def instances(count: int, ports: list[str]) -> list[Instance]:
     """`count` hosts, spread over zones, cells and the addresses that answer for them."""
     return [
@@ -35,7 +41,7 @@
     plan = {
         "name": "team",
         "refill": refill,
-        "burst": BURST_S * refill,
+        "burst": burst(refill),
         "worth_factor": 1.0,
         "over_cost": 1.0,
     }
@@ -70,6 +76,11 @@
                 "dial_timeout_ms": 250.0,
                 "conn_idle_ms": 30000.0,
             },
-            "family_info": {"may_count": True, "count_wait_ms": 80.0, "trued_up": False, "most_units": 6},
+            "family_info": {
+                "may_count": True,
+                "count_wait_ms": 80.0,
+                "trued_up": False,
+                "most_units": MOST_UNITS,
+            },
         },
     }
--- a/testbed/scale.py
+++ b/testbed/scale.py
@@ -187,6 +187,8 @@
         say(f"{hosts} hosts: load for {plan.seconds:g} s")
         answers = await fleet.load(plan.seconds)
         loaded = await fleet.read()
+        if not any(a["served"] for a in answers):
+            raise ChildError("no request was served: there is nothing to report")
         roles = _roles(fleet, quiet, idle, calibrated, loaded, stub, answers)
         load = Counter()
         for a in answers[: len(fleet.hollow)]:
@@ -319,7 +321,7 @@
         [tuple(entry) for a in answers for entry in a["sent"]],
         asked,
         refill=fleet.refill,
-        burst=configuration.BURST_S * fleet.refill,
+        burst=configuration.burst(fleet.refill),
         seconds=max(plan.seconds, 5.0),
     )
     calls = after["calls"] - before["calls"]
