Record and read added latency in one place of the testbed, and name its requests once

The bounds of the histogram, its making and the clamp stood in the hollow gateways, the clients and the scale run: now `testbed/latency.py`. Units and classes of a request stood in the first two: now `testbed/configuration.py`. A name that nothing used is gone, signals have their names.

--- a/testbed/clients.py
+++ b/testbed/clients.py
@@ -10,9 +10,9 @@
 from collections import deque
 
 import httptools
-from hdrh.histogram import HdrHistogram
 
-HIGHEST_US = 60_000_000
+from testbed import configuration
+from testbed.latency import Added
 
 
 class _Line(asyncio.Protocol):
@@ -65,7 +65,7 @@
         self._addresses, self._fleet, self._customers = addresses, fleet, customers
         self._rate, self._rng = rate * len(addresses), random.Random(seed)
         self._free: dict[tuple[str, int], deque[_Line]] = {a: deque() for a in addresses}
-        self.added = HdrHistogram(1, HIGHEST_US, 3)
+        self.added = Added()
         self.asked = self.served = self.refused = self.failed = self.lost_count = 0
         self._tasks: set[asyncio.Task] = set()
 
@@ -97,7 +97,8 @@
         line.ask(due, self._request())
 
     def _request(self) -> bytes:
-        unsafe = self.asked % 4 == 0
+        name = configuration.class_of(self.asked)
+        unsafe = name == configuration.UNSAFE
         who = self._rng.randrange(self._customers)
         return (
             b"%b /api/%016x HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: c%015x\r\nX-Class: %b\r\n"
@@ -106,9 +107,9 @@
                 b"POST" if unsafe else b"GET",
                 who,
                 self.asked,
-                b"order" if unsafe else b"read",
+                name.encode(),
                 b"Content-Length: 0\r\n" if unsafe else b"",
-                self._rng.choice((1, 2, 3)),
+                self._rng.choice(configuration.UNITS),
                 self._fleet,
             )
         )
@@ -117,8 +118,7 @@
         """One answer; a host tells its own time (microseconds) in the body."""
         if status == 200 and body.isdigit():
             self.served += 1
-            took = (time.monotonic() - due) * 1e6 - int(body)
-            self.added.record_value(min(max(int(took), 1), HIGHEST_US))
+            self.added.record(time.monotonic() - due - int(body) / 1e6)
         elif status in (429, 503):
             self.refused += 1
         else:
--- a/testbed/configuration.py
+++ b/testbed/configuration.py
@@ -6,14 +6,21 @@
 
 ZONES = 5
 CELL = 6  # hosts to a cell
+SAFE, UNSAFE = "read", "order"
+UNITS = (1, 2, 3)  # of a request, each as often
 CLASSES = [
-    {"name": "read", "objective_ms": 1000.0, "deadline_ms": 4000.0, "worth": 1.0, "effect": "safe"},
-    {"name": "order", "objective_ms": 1500.0, "deadline_ms": 4000.0, "worth": 3.0, "effect": "unsafe"},
+    {"name": SAFE, "objective_ms": 1000.0, "deadline_ms": 4000.0, "worth": 1.0, "effect": "safe"},
+    {"name": UNSAFE, "objective_ms": 1500.0, "deadline_ms": 4000.0, "worth": 3.0, "effect": "unsafe"},
 ]
 MOST_UNITS = 6  # of a request
 BURST_S = 4.0  # a customer's burst, in seconds of its rate
 
 
+def class_of(number: int) -> str:
+    """The class of a run's request of that number: every fourth may not be repeated."""
+    return SAFE if number % 4 else UNSAFE
+
+
 def burst(refill: float) -> float:
     """Units that a customer's store holds: the largest request fits, however seldom one comes."""
     return max(BURST_S * refill, float(MOST_UNITS))
--- a/testbed/hollow.py
+++ b/testbed/hollow.py
@@ -12,9 +12,9 @@
 from collections import deque
 from collections.abc import Callable
 
-from hdrh.histogram import HdrHistogram
-
+from testbed import configuration
 from testbed.hosts import HostTimes
+from testbed.latency import Added
 from yewstage import interface as api
 from yewstage.net.config import Config
 from yewstage.net.core import Core, Order
@@ -22,7 +22,6 @@
 from yewstage.net.http1 import Reply
 
 DIAL_MS = 2.0  # a trip across a zone and back, and the host's work on it
-HIGHEST_US = 60_000_000
 SERVED = Reply(200, {}, b"", True)
 HEAD = b"GET /api/0 HTTP/1.1\r\n"
 
@@ -180,7 +179,7 @@
         self._asks = list(
             itertools.accumulate(self._rng.choice((1, 1, 2, 2, 3, 4, 20)) for _ in range(customers))
         )
-        self.added = HdrHistogram(1, HIGHEST_US, 3)
+        self.added = Added()
         self.asked = self.served = 0
         self.units_asked: dict[int, float] = {}  # by customer
         self.stub = False  # answer at once: what the load itself costs
@@ -226,11 +225,11 @@
         if self.stub:
             client.answer(200)
             return
-        units = float(self._rng.choice((1, 2, 3)))
+        units = float(self._rng.choice(configuration.UNITS))
         self.units_asked[who] = self.units_asked.get(who, 0.0) + units
         order = Order(
             b"%x" % number,
-            "read" if number % 4 else "order",
+            configuration.class_of(number),
             "team",
             f"{who:016x}",
             4000.0,
@@ -248,5 +247,4 @@
         """One answer: what the gateway added is all but the host's own time."""
         if status == 200 and not self.stub:
             self.served += 1
-            took = time.monotonic() - client.due - ReckonedHosts.host_s
-            self.added.record_value(min(max(int(took * 1e6), 1), HIGHEST_US))
+            self.added.record(time.monotonic() - client.due - ReckonedHosts.host_s)
--- a/testbed/plan.py
+++ b/testbed/plan.py
@@ -4,8 +4,6 @@
 
 import msgspec
 
-Count = int
-
 
 class Plan(msgspec.Struct, frozen=True, kw_only=True):
     """One scale run, as given on the command line."""
--- a/testbed/role.py
+++ b/testbed/role.py
@@ -115,7 +115,7 @@
                     "served": fleet.served - served,
                     "dials": sum(c[1] for c in counts) - dials,
                     "connections": sum(c[0] for c in counts),
-                    "added": fleet.added.encode().decode(),
+                    "added": fleet.added.encode(),
                     "load": dict(ReckonedHosts.load),
                     "sent": list(fleet.sent) if command.get("sent") else [],
                     "units_asked": fleet.units_asked if command.get("sent") else {},
@@ -150,7 +150,7 @@
             "refused": it.refused,
             "failed": it.failed,
             "lost": it.lost_count,
-            "added": it.added.encode().decode(),
+            "added": it.added.encode(),
         }
 
 
--- a/testbed/scale.py
+++ b/testbed/scale.py
@@ -8,6 +8,8 @@
 import platform
 import re
 import shlex
+import signal
+import statistics
 import tempfile
 import time
 import tomllib
@@ -17,23 +19,21 @@
 from typing import Any
 
 import msgspec
-from hdrh.histogram import HdrHistogram
 
 from testbed import configuration
 from testbed.children import ROOT, Child, ChildError, Children
 from testbed.fit import line
-from testbed.plan import Change, Fit, Latency, Plan, Quotas, Report, Role, Size
+from testbed.latency import quantiles
+from testbed.plan import Change, Fit, Plan, Quotas, Report, Role, Size
 from testbed.quotas import reckon
 
 EACH = 100  # hollow gateways to a process
 MOST_PROCESSES = 300
-UNITS = 2.0  # of a request, in the mean
 TARGET_HOSTS = 11_000
 COUNTER_CALLS_PER_S = 20_000.0
 HOST_PROCESSES, HOST_PORTS = 2, 32
 READY_S = 120.0
 KB_PER_HOST = 1.0  # what a hollow gateway holds of each host, for the bound on memory
-HIGHEST_US = 60_000_000
 LISTENING = re.compile(rb"listening on 127\.0\.0\.1:(\d+)")
 
 
@@ -51,24 +51,15 @@
     return os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES") / 2**20
 
 
-def latency(encoded: list[str]) -> Latency | None:
-    """The quantiles over some histograms, each as its process encoded it."""
-    whole = HdrHistogram(1, HIGHEST_US, 3)
-    for text in encoded:
-        whole.decode_and_add(text.encode())
-    if not whole.get_total_count():
-        return None
-    at = [whole.get_value_at_percentile(p) / 1000 for p in (50, 99, 99.9)]
-    return Latency(p50=at[0], p99=at[1], p999=at[2], count=whole.get_total_count())
-
-
 class Fleet:
     """All processes at one size."""
 
     def __init__(self, plan: Plan, hosts: int, children: Children, folder: Path) -> None:
         self.plan, self.hosts, self.children, self.folder = plan, hosts, children, folder
         self.fleet = plan.gateways + plan.real
-        self.refill = max(UNITS * plan.rate * self.fleet / plan.customers, 0.05)
+        self.refill = max(
+            statistics.mean(configuration.UNITS) * plan.rate * self.fleet / plan.customers, 0.05
+        )
         self.hollow: list[Child] = []
         self.real: list[Child] = []
         self.stands: list[Child] = []
@@ -238,7 +229,7 @@
                 cpu_s=spent,
                 cpu_us_per_request=((spent - rest * load_s) / max(asked, 1) - own) * 1e6,
                 cpu_us_per_idle_s=rest / plan.gateways * 1e6,
-                added_ms=latency([a["added"] for a in mine]),
+                added_ms=quantiles([a["added"] for a in mine]),
                 memory_mb=sum(c.memory_mb() for c in hollow) / plan.gateways,
                 dials_per_request=sum(a["dials"] for a in mine) / max(asked, 1),
                 connections=sum(a["connections"] for a in mine) / plan.gateways,
@@ -261,7 +252,7 @@
                 dials_per_request=(loaded["traffic"]["hosts"]["opened"] - idle["traffic"]["hosts"]["opened"])
                 / max(theirs["asked"], 1),
                 connections=loaded["traffic"]["hosts"]["open"] / len(real),
-                added_ms=latency([theirs["added"]]),
+                added_ms=quantiles([theirs["added"]]),
                 memory_mb=sum(c.memory_mb() for c in real) / len(real),
             )
         )
@@ -409,6 +400,6 @@
     """Run to the end; Ctrl-C ends the children first."""
     with contextlib.closing(asyncio.new_event_loop()) as loop:
         task = loop.create_task(run(plan, command, say))
-        for number in (2, 15):
+        for number in (signal.SIGINT, signal.SIGTERM):
             loop.add_signal_handler(number, task.cancel)
         return loop.run_until_complete(task)
--- a/tests/test_testbed.py
+++ b/tests/test_testbed.py
@@ -180,7 +180,7 @@
         assert counts.calls > 0 and sum(units for _, _, units in fleet.sent) <= sum(
             fleet.units_asked.values()
         )
-        assert fleet.added.get_total_count() == fleet.served
+        assert fleet.added.count() == fleet.served
         directory.change([msgspec.structs.replace(i, lifecycle="draining") for i in listed(60)[:30]])
         while any(sum(core._hosts._names.values()) > 30 for core in fleet.cores):  # all watches have told
             await asyncio.sleep(0.01)
