--- a/tests/test_acceptance_terms.py
+++ b/tests/test_acceptance_terms.py
@@ -32,13 +32,14 @@
     server,
 )
 from fleet_play import Play
-from test_net_parts import Answers, Held, an_order, core_with
+from test_net_parts import Answers, Held, an_order, core_with, dialling
 
 from yewstage import interface as api
 from yewstage.net.clients import Server
 from yewstage.net.config import LEAST_SOCKETS, ConfigError, client_sockets, parse, upstream_sockets
 from yewstage.net.core import Core
 from yewstage.net.discovery import ROUND_S, Discovery, Listing, parse_listing
+from yewstage.net.hosts import Hosts
 from yewstage.net.http1 import Reply
 
 # --- A repeat keeps its window (the rule on duplicates) ----------------------------------------------------
@@ -61,13 +62,8 @@
     """The connection is up, its end not told: the write asks again. The timer that ends a dial is off."""
     async def scenario() -> None:
         host = Fake(lambda seen: reply(b"served"))
-        core, script = await core_with(monkeypatch, host)
-        core._hosts._loop = held = Held(core._loop)
-        monkeypatch.setattr(core._hosts, "_watch_write", lambda attempt: None)
-        client = Answers()
-        script.plan[api.Request] = [api.Send("r1", "s-0", 5000, write_by_ms=60_000)]
-        script.plan[api.Outcome] = [api.Fail("r1")]
-        core.request(client, an_order())
+        monkeypatch.setattr(Hosts, "_watch_write", lambda self, attempt: None)
+        core, script, held, client = await dialling(monkeypatch, host, api.Fail, write_by_ms=60_000)
         await host.until(lambda fake: fake.opened == 1)
         attempt, = core._hosts._dialling
         attempt.write_by = time.monotonic() - 0.001  # the window is over
@@ -176,12 +172,7 @@
     """Same id, same address, a later start: its budget is a cold one's, and the module has to decide anew."""
     async def scenario() -> None:
         host = Fake(lambda seen: reply(b"served"))
-        core, script = await core_with(monkeypatch, host)
-        core._hosts._loop = Held(core._loop)
-        client = Answers()
-        script.plan[api.Request] = [api.Send("r1", "s-0", 5000)]
-        script.plan[api.Outcome] = [api.Refuse("r1")]
-        core.request(client, an_order())
+        core, script, _, client = await dialling(monkeypatch, host)
         await host.until(lambda fake: fake.opened == 1)
         anew = {**instance("s-0", host.port), "startedAtMs": 1e12}
         core._listed(parse_listing({"generation": 2, "reset": False, "instances": [anew]}))
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -187,6 +187,19 @@
             self.ended.set()
 
 
+async def dialling(monkeypatch: pytest.MonkeyPatch, host: Fake,
+                   then: type[api.Refuse] | type[api.Fail] = api.Refuse,
+                   **send: float) -> tuple[Core, Script, Held, Answers]:
+    """A request whose dial is under way until the test lets it up; `then` answers its outcome."""
+    core, script = await core_with(monkeypatch, host)
+    core._hosts._loop = held = Held(core._loop)
+    client = Answers()
+    script.plan[api.Request] = [api.Send("r1", "s-0", 5000, **send)]
+    script.plan[api.Outcome] = [then("r1")]
+    core.request(client, an_order())
+    return core, script, held, client
+
+
 def the_list(host: Fake, lifecycle: str) -> Listing:
     gone = lifecycle == "gone"
     left = [] if gone else [instance("s-0", host.port, lifecycle)]
@@ -199,13 +212,8 @@
     """The connection is up and its end not told yet when the list comes: the worst order there is."""
     async def scenario() -> None:
         host = Fake(lambda seen: reply(b"served"))
-        core, script = await core_with(monkeypatch, host)
-        core._hosts._loop = held = Held(core._loop)
+        core, script, held, client = await dialling(monkeypatch, host)
         monkeypatch.setattr(core._hosts, "recall", lambda: None)  # only the check at the moment of writing
-        client = Answers()
-        script.plan[api.Request] = [api.Send("r1", "s-0", 5000)]
-        script.plan[api.Outcome] = [api.Refuse("r1")]
-        core.request(client, an_order())
         await held.begun.wait()
         await host.until(lambda fake: fake.opened == 1)
         held.let_up.set()
@@ -223,12 +231,7 @@
                                                                 lifecycle: str) -> None:
     async def scenario() -> None:
         host = Fake(lambda seen: reply(b"served"))
-        core, script = await core_with(monkeypatch, host)
-        core._hosts._loop = held = Held(core._loop)
-        client = Answers()
-        script.plan[api.Request] = [api.Send("r1", "s-0", 5000)]
-        script.plan[api.Outcome] = [api.Refuse("r1")]
-        core.request(client, an_order())
+        core, script, held, client = await dialling(monkeypatch, host)
         await held.begun.wait()
         core._listed(the_list(host, lifecycle))
         assert client.got.get_nowait() == 503  # not when the dial is over
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -7,6 +7,7 @@
 import random
 import sys
 import tomllib
+from pathlib import Path
 
 import pytest
 from conftest import CAPPED, PLAN, ROOT, Driver, of, server, settings
@@ -713,6 +714,7 @@
 def test_module_keeps_its_form() -> None:
     files = [ROOT / name for name in tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["policy"]]
     ours = {f"yewstage.{file.stem}" for file in files}
+    assert Path(policy.__file__) in files
     assert sum(1 for file in files for line in file.read_text().splitlines() if line.strip()) < 1200
     for file in files:
         assert max(map(len, file.read_text().splitlines())) <= 110
