--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -116,6 +116,6 @@
 
 def test_deploy_file_is_as_agreed() -> None:
     text = (ROOT / "deploy" / "balancer.toml").read_text()
-    for part in ("policy", "admission", "occupancy", "subset"):
-        assert f'"yewstage/{part}.py"' in text
+    parts = ", ".join(f'"yewstage/{part}.py"' for part in ("policy", "admission", "occupancy", "subset"))
+    assert f"policy = [{parts}]" in text
     assert 'sim = "exec .venv/bin/python -m yewstage.wirehost"' in text
