--- a/tests/host_play.py
+++ b/tests/host_play.py
@@ -11,6 +11,7 @@
 import random
 
 from conftest import OPEN, settings
+from event_play import EventPlay
 
 from yewstage import interface as api
 from yewstage.policy import Gateway
@@ -67,20 +68,17 @@
     attempts: int = 0
 
 
-class HostPlay:
+class HostPlay(EventPlay):
     """Gateways and hosts on one clock, which `times` stretches but for the gateways' own spacing."""
 
     def __init__(self, loads: list[Load], *, gateways: int = 1, hosts: int = 60, cores: int | None = None,
                  seed: int = 1, times: float = 1.0, fleet_size: int | None = None) -> None:
-        self.rng = random.Random(seed)
-        self.now = self.born = 1e6
+        super().__init__(random.Random(seed), 1e6)
         self.loads, self.cores, self.times = loads, cores, times
         self.free = {f"h{i}": [0.0] * (cores or 0) for i in range(hosts)}
-        self.queue: list[tuple[float, int, int, api.Event]] = []
         self.tallies = {load.cls.name: Tally() for load in loads}
         self.open: dict[str, Asked] = {}
         self.sent: list[tuple[float, float]] = []  # when, and how much work
-        self.serial = 0
         plans = {load.plan.name: load.plan for load in loads}
         set_up = settings(classes=tuple(load.cls for load in loads), plans=tuple(plans.values()),
                           fleet_size=fleet_size or gateways, may_count=False)
@@ -91,22 +89,9 @@
 
     def run(self, seconds: float, pace: float = 1.0) -> HostPlay:
         """Open-loop load at `pace` times the loads' rates; then all tallies hold what it came to."""
-        end = self.now + 1000 * seconds
         weights = [load.rate for load in self.loads]
         total = pace * sum(weights) * len(self.gateways) / 1000
-        at = self.now + self.rng.expovariate(total)
-        while True:
-            due = self.queue[0][0] if self.queue else math.inf
-            if min(at, due) > end:
-                break
-            if due <= at:
-                self.now, _, i, event = heapq.heappop(self.queue)
-                self._give(i, event)
-            else:
-                self.now = at
-                self._ask(self.rng.choices(self.loads, weights)[0])
-                at += self.rng.expovariate(total)
-        self.now = end
+        self._arrivals(seconds, total, lambda: self._ask(self.rng.choices(self.loads, weights)[0]))
         return self
 
     def forget(self) -> None:
@@ -158,7 +143,3 @@
         outcome = api.Outcome(act.request, asked.attempts, act.server, result, took, result == api.OK)
         asked.attempts += 1
         self._later(took, i, outcome)
-
-    def _later(self, in_ms: float, i: int, event: api.Event) -> None:
-        self.serial += 1
-        heapq.heappush(self.queue, (self.now + in_ms, self.serial, i, event))
--- a/tests/quota_play.py
+++ b/tests/quota_play.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import heapq
-import math
 import random
 from dataclasses import dataclass
 
 from conftest import server, settings
+from event_play import EventPlay
 
 from yewstage import interface as api
 from yewstage.policy import Gateway
@@ -44,15 +43,14 @@
         return inside
 
 
-class QuotaPlay:
+class QuotaPlay(EventPlay):
     """Gateways, a counter that turns some calls away, and each customer's true store."""
 
     def __init__(self, seed: int, plan: api.Plan, *, fleet: int = 200, width: int | None = None,
                  asked: tuple[float, ...] = ASKED, turned_away: float = 0.0, call_ms: float = 2.0,
                  lean: float = 0.0, units: tuple[int, ...] = (1, 2, 3)) -> None:
         """`asked`: each customer's requests in parts of its rate; `lean`: part of them at one gateway."""
-        self.rng, self.now = random.Random(seed), 1e6 + 1e4 * seed
-        self.born = self.now
+        super().__init__(random.Random(seed), 1e6 + 1e4 * seed)
         self.plan, self.asked, self.units = plan, asked, units
         self.fleet, self.width = fleet, width or fleet
         self.turned_away, self.call_ms, self.lean = turned_away, call_ms, lean
@@ -63,31 +61,17 @@
         self.first = [self.rng.randrange(fleet) for _ in asked]
         self.inside = self.beyond = 0.0  # units
         self.tries = self.refused = self.refused_with_room = self.calls = 0
-        self.queue: list[tuple[float, int, int, api.Event]] = []
-        self.serial = 0
         self.open: dict[str, tuple[int, float]] = {}
         for i in range(fleet):
             self._give(i, api.ServerList("kept", tuple(server(n) for n in range(8))))
 
     def run(self, seconds: float) -> QuotaPlay:
         """Each customer asks at its own pace, in chance moments."""
-        end = self.now + 1000 * seconds
         mean = sum(self.units) / len(self.units)
         paces = [times * self.plan.rate / mean / 1000 for times in self.asked]
         total = sum(paces)
-        at = self.now + self.rng.expovariate(total)
-        while True:
-            due = self.queue[0][0] if self.queue else math.inf
-            if min(at, due) > end:
-                break
-            if due <= at:
-                self.now, _, i, event = heapq.heappop(self.queue)
-                self._give(i, event)
-            else:
-                self.now = at
-                self._ask(self.rng.choices(range(len(paces)), paces)[0])
-                at += self.rng.expovariate(total)
-        self.now = end
+        customers = range(len(paces))
+        self._arrivals(seconds, total, lambda: self._ask(self.rng.choices(customers, paces)[0]))
         return self
 
     @property
@@ -144,7 +128,3 @@
         store.fill(self.now)
         self.refused += 1
         self.refused_with_room += store.left >= max(self.plan.burst / 2, units)
-
-    def _later(self, in_ms: float, i: int, event: api.Event) -> None:
-        self.serial += 1
-        heapq.heappush(self.queue, (self.now + in_ms, self.serial, i, event))
--- a/tests/test_thin_traffic.py
+++ b/tests/test_thin_traffic.py
@@ -41,6 +41,7 @@
 
 def test_chance_queues_on_many_hosts_are_not_shed_for_but_a_jam_is() -> None:
     assert trickle(known(60), [420.0], 2) > 0.95
+    assert trickle(Driver(servers=60), [420.0], 2) > 0.95, "from the start"
     assert trickle(known(2), [420.0], 2) < 0.9, "the same latency where we see the hosts' load"
     assert trickle(known(60), [900.0], 2) < 0.6
     assert trickle(Driver(servers=60), [900.0], 2) < 0.6, "from the start"
