--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -478,7 +478,7 @@
         """
         if len(self.connections) + len(self._pending) < self._most:
             return True
-        # Danger: one whose next request lies in the kernel would have to send it again, or fail with it.
+        # A client whose next request is unread in the kernel would have to send it again, or fail with it.
         for connection in (*islice(self._kept, LOOKS), *islice(self._unheard, LOOKS)):
             if connection.may_go():
                 self.closed(connection)
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -137,7 +137,7 @@
             self._counter.start()
         self._beat_due = time.monotonic() + BEAT_S
         self._loop.call_later(BEAT_S, self._beat)
-        # Danger: what an agent on this machine has counts as told from our first moment, and clients may come
+        # What an agent on this machine has counts as told from our first moment, and clients may come
         # to a restarted gateway before the front does. Where discovery must be asked, its word may take long.
         self._loop.call_later(0.0 if self.settings.must_ask else LIST_WAIT_S, self.informed.set)
 
@@ -258,7 +258,7 @@
     def _call_off(self, request: _Open) -> None:
         """End what is not written whole for a request that nobody waits for.
 
-        Danger: what stands half written in our buffer would begin at its host after the client has gone.
+        Otherwise a request half written in our buffer would start at its host after the client has gone.
         """
         if request.out:
             for attempt in request.attempts:
--- a/yewstage/net/counter.py
+++ b/yewstage/net/counter.py
@@ -98,7 +98,7 @@
 
         Guards the quotas against a path that drops one connection, or a stuck worker behind a proxy: the
         calls in that line would make the module think that nobody answers. A slow part of the counter shows
-        on more than one connection, a slow or silent counter on all. Hurts: a lone late call costs a dial.
+        on more than one connection, a slow or silent counter on all. A lone late call costs a dial.
         """
         others = [slot for slot in self._slots if slot is not call.slot]
         late = self._loop.time() - self._wait_s / 2
--- a/yewstage/net/discovery.py
+++ b/yewstage/net/discovery.py
@@ -82,7 +82,7 @@
 
     A gateway that has a list asks for what has changed since: discovery pays for each line that it sends, and
     whole lists for a fleet that starts at once are what overbooks it. What fails is tried again after a
-    backoff with full jitter. Danger: gateways that start or lose discovery together would come again in step
+    backoff with full jitter. Otherwise gateways that start or lose discovery together would retry in step
     for good, find its line full each time, and each learn of drains and new hosts never.
 
     A watch that has fallen silent looks like one that has no news, so it waits for so short a time that
--- a/yewstage/net/hosts.py
+++ b/yewstage/net/hosts.py
@@ -84,8 +84,8 @@
                born: dict[str, float]) -> None:
         """Where to dial each host, which drain, and which to dial no more. What is written goes on.
 
-        `born`: when each started. Danger: a dial that was begun for the process before would take a cold
-        host's work past its budget.
+        `born`: when each started. A dial begun for the previous process must not be used: it would take a
+        cold host's work past its budget.
         """
         for name in gone:
             host = self._hosts.pop(name, None)
@@ -102,7 +102,7 @@
     def recall(self) -> None:
         """End the dials to hosts that take nothing new: their requests go elsewhere without waiting for them.
 
-        Danger: the module must have heard of the list first, or it would choose the same host again.
+        The module must have been told of the list first, or it would choose the same host again.
         """
         for attempt, host in list(self._dialling.items()):
             if not self._takes(host):
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -212,7 +212,7 @@
         self.base_own = self.base_at = 0.0  # what it held of ours, when
         self.most = plan.burst  # left if the others use nothing
         self.others = plan.rate / 1000 * (1 - 1 / width)  # estimate of the others' use, units per ms
-        # a gateway back from the dead has spent what it no longer knows. It earns its split anew.
+        # A restarted gateway has spent what it no longer knows: it earns its split anew.
         self.left, self.left_at = min(plan.burst, plan.rate * age / 1000) / width, now
         self.asking: list[tuple[api.Request, float, float]] = []  # wait for a total: request, aim, end
         self.open = 0
