Review case 2: bodies in small chunks take the gateway over its memory limit

Cause: each chunk of an incomplete body is kept as an object of its own, and nothing bounds their number or the memory.

Change: review/2; the stand-ins take the limits of the configuration; nothing outside review/ is changed.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""A gateway gets SIGTERM while its clients have sent several requests at once on a connection."""
+"""Some clients stop in the middle of a request whose body comes in small chunks, and stay."""
 
 from __future__ import annotations
 
@@ -16,145 +16,165 @@
 from review.support.record import Record
 from review.support.runner import has_trouble, run_case
 
+# The highest limits of a scored day.
+LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
 HOST_COUNT = 6
-CLIENT_COUNT = 6
-REQUESTS_AT_ONCE = 4
-# Each client pauses between two batches.
-MEAN_PAUSE_S = 0.2
-# The work of an `order-place`.
-WORK_S = (0.095, 0.160)
+# Usual clients.
+REQUESTS_PER_S = 25.0
+CUSTOMERS = 50
+MENU_READ_SHARE = 0.6
 DEADLINE_MS = 2500
-# Longest wait for an answer, beyond the client's deadline.
+MEAN_WORK_S = 0.1
 ANSWER_SLACK_S = 0.5
-SIGTERM_AT_S = 3.0
-END_AT_S = 8.0
+DURATION_S = 10.0
+# Clients that stop in the middle of a request: fewer than a third of the descriptors.
+STOPPING_CLIENTS = 300
+STOPPING_FROM_S = 3.0
+# The part of the body that they send: 44,000 bytes, in chunks of two bytes.
+CHUNK = b"2\r\nab\r\n"
+CHUNKS_SENT = 22_000
+# A bad client is owed an error or a close within 3 s.
+BAD_CLIENT_WAIT_S = 3.0
+MEMORY_CHECK_INTERVAL_S = 0.02
 
 
 class Host(HttpServer):
     """Answers each request after its work."""
 
-    def __init__(self, number: int, rng: random.Random, run: list[str]) -> None:
+    def __init__(self, number: int, rng: random.Random) -> None:
         super().__init__()
         self.record: Record | None = None
         self._number = number
         self._rng = rng
-        self._run = run
 
     async def answer(self, request: Message) -> bytes:
         """Run a request."""
-        self._run.append(request.request_id)
         if self.record is not None:
             self.record.add("host_received", host=self._number, request=request.request_id)
-        await asyncio.sleep(self._rng.uniform(*WORK_S))
+        await asyncio.sleep(self._rng.expovariate(1 / MEAN_WORK_S))
         return response(f"host {self._number} served {request.request_id}".encode())
 
 
-class Client:
-    """A client that sends some requests at once in one write, and waits for their answers.
+class Platform:
+    """The platform: it kills a gateway that goes over its memory limit.
 
     Attributes:
-        answers: Number of answers by status.
-        lost: Ids of the requests whose connection the gateway ended without an answer to them.
-        is_closing: Whether the gateway has announced the end of the connection.
+        peak_mb: Highest memory of the gateway so far, in MB.
+        has_killed: Whether the gateway was over its limit.
     """
 
-    def __init__(self, number: int, port: int, rng: random.Random, record: Record) -> None:
+    def __init__(self, gateway: Gateway, record: Record) -> None:
+        self.peak_mb = 0.0
+        self.has_killed = False
+        self._gateway = gateway
+        self._record = record
+
+    async def watch(self) -> None:
+        """Check the memory until the gateway is killed."""
+        while not self.has_killed:
+            memory_mb = self._gateway.memory_mb()
+            if memory_mb > self.peak_mb + 10:
+                self._record.add("memory", mb=f"{memory_mb:.0f}", limit_mb=LIMITS["memory_mb"])
+            self.peak_mb = max(self.peak_mb, memory_mb)
+            if memory_mb > LIMITS["memory_mb"]:
+                self.has_killed = True
+                self._record.add("OVER_MEMORY_LIMIT", mb=f"{memory_mb:.0f}", limit_mb=LIMITS["memory_mb"])
+                self._gateway.signal(signal.SIGKILL)
+            await asyncio.sleep(MEMORY_CHECK_INTERVAL_S)
+
+
+class Clients:
+    """All clients of the gateway.
+
+    Attributes:
+        answers: Number of answers to usual clients by status; `none` if there was none.
+        stopping_answers: The same for the clients that stop.
+    """
+
+    def __init__(self, port: int, rng: random.Random, record: Record) -> None:
         self.answers: Tally[str] = Tally()
-        self.lost: list[str] = []
-        self.is_closing = False
-        self._number = number
+        self.stopping_answers: Tally[str] = Tally()
         self._port = port
         self._rng = rng
         self._record = record
-        self._batches = 0
-
-    async def run(self, is_over: asyncio.Event) -> None:
-        """Send batches on one connection until the event is set or the connection ends."""
-        reader, writer = await asyncio.open_connection(LOOPBACK, self._port)
-        while not is_over.is_set() and not self.is_closing:
-            await self._send_batch(reader, writer)
-            await asyncio.sleep(self._rng.expovariate(1 / MEAN_PAUSE_S))
-            # The gateway may have closed the connection between two batches.
-            self.is_closing = self.is_closing or reader.at_eof()
-        writer.close()
-
-    async def _send_batch(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._batches += 1
-        ids = [f"{self._number:04x}{self._batches:08x}{i:04x}" for i in range(REQUESTS_AT_ONCE)]
-        writer.write(
-            b"".join(
-                clients.request(
-                    request_id, "order-place", deadline_ms=DEADLINE_MS, tenant=0xB4D60000 + self._number
-                )
-                for request_id in ids
-            )
-        )
-        self._record.add("client_sent", client=self._number, requests=",".join(ids))
-        unanswered = ids.copy()
-        try:
-            async with asyncio.timeout(DEADLINE_MS / 1000 + ANSWER_SLACK_S):
-                while unanswered:
-                    await self._read_answer(reader, unanswered[0])
-                    del unanswered[0]
-        except (asyncio.IncompleteReadError, ConnectionError, TimeoutError) as error:
-            self._record_loss(error, ids, unanswered)
-
-    async def _read_answer(self, reader: asyncio.StreamReader, request_id: str) -> None:
-        answer = await read_message(reader)
-        self.answers[str(answer.status)] += 1
-        connection = answer.headers.get("connection", "keep-alive")
-        self.is_closing = connection.lower() == "close"
-        self._record.add(
-            "client_got",
-            client=self._number,
-            request=request_id,
-            status=answer.status,
-            connection=connection,
-            body=repr(answer.body.decode()),
-        )
-
-    def _record_loss(self, error: Exception, ids: list[str], unanswered: list[str]) -> None:
-        """Record the requests without an answer.
 
-        All requests of a batch are in one write of less than 2 KB. So they count only if the first one has an
-        answer: otherwise the close may have crossed a batch that the gateway had not read.
+    async def send(self, number: int) -> None:
+        """Send the request of a usual client, and wait for its answer."""
+        request_id = f"{number:016x}"
+        class_name = "menu-read" if self._rng.random() < MENU_READ_SHARE else "order-place"
+        tenant = 0xB4D60000 + number % CUSTOMERS
+        data = clients.request(request_id, class_name, deadline_ms=DEADLINE_MS, tenant=tenant)
+        self._record.add("client_sent", request=request_id, kind=class_name)
+        outcome = await self._exchange(data, DEADLINE_MS / 1000 + ANSWER_SLACK_S)
+        self.answers[outcome] += 1
+        self._record.add("client_got", request=request_id, kind=class_name, answer=outcome)
+
+    async def stop_midway(self, number: int) -> None:
+        """Send the greater part of a request and stay until there is an error or a close.
+
+        Without the disruption, send a whole request with the same body and its length.
         """
-        self.is_closing = True
-        for request_id in unanswered:
-            self._record.add(
-                "client_got_none", client=self._number, request=request_id, error=type(error).__name__
-            )
-        if len(unanswered) < len(ids) or isinstance(error, TimeoutError):
-            self.lost += unanswered
-            self._record.add("LOST", client=self._number, requests=",".join(unanswered))
+        request_id = f"{0xFFFF0000 + number:016x}"
+        tenant = 0xB4D60000 + number % CUSTOMERS
+        data = clients.request(
+            request_id, "order-place", deadline_ms=DEADLINE_MS, tenant=tenant, body=b"ab" * CHUNKS_SENT
+        )
+        if has_trouble():
+            head = data.partition(b"Content-Length")[0] + b"Transfer-Encoding: chunked\r\n\r\n"
+            data = head + CHUNK * CHUNKS_SENT
+        self._record.add("client_sent", request=request_id, bytes=len(data), is_whole=not has_trouble())
+        outcome = await self._exchange(data, BAD_CLIENT_WAIT_S)
+        self.stopping_answers[outcome] += 1
+        self._record.add("client_got", request=request_id, answer=outcome)
+
+    async def _exchange(self, data: bytes, timeout_s: float) -> str:
+        """Send bytes on a new connection, and return the status of the answer, or `none`."""
+        try:
+            reader, writer = await asyncio.open_connection(LOOPBACK, self._port)
+        except OSError:
+            return "none"
+        try:
+            async with asyncio.timeout(timeout_s):
+                writer.write(data)
+                return str((await read_message(reader)).status)
+        except (asyncio.IncompleteReadError, ConnectionError, TimeoutError):
+            return "none"
+        finally:
+            writer.close()
 
 
 def main() -> int:
     """Run the case, and return the exit status."""
     rng = random.Random()
-    run: list[str] = []
-    hosts = [Host(i, rng, run) for i in range(HOST_COUNT)]
+    hosts = [Host(i, rng) for i in range(HOST_COUNT)]
 
     async def play(gateway: Gateway, record: Record) -> bool:
         for host in hosts:
             host.record = record
-        is_over = asyncio.Event()
-        users = [Client(i, gateway.port, rng, record) for i in range(CLIENT_COUNT)]
-        tasks = [asyncio.create_task(user.run(is_over)) for user in users]
-        await asyncio.sleep(SIGTERM_AT_S)
-        if has_trouble():
-            record.add("sigterm")
-            gateway.signal(signal.SIGTERM)
-        await asyncio.sleep(END_AT_S - SIGTERM_AT_S)
-        is_over.set()
+        users, platform = Clients(gateway.port, rng, record), Platform(gateway, record)
+        watch = asyncio.create_task(platform.watch())
+        tasks: list[asyncio.Task[None]] = []
+        has_stopping_clients = False
+        while record.elapsed_s() < DURATION_S and not platform.has_killed:
+            await asyncio.sleep(rng.expovariate(REQUESTS_PER_S))
+            tasks.append(asyncio.create_task(users.send(len(tasks))))
+            if record.elapsed_s() > STOPPING_FROM_S and not has_stopping_clients:
+                has_stopping_clients = True
+                tasks += [asyncio.create_task(users.stop_midway(i)) for i in range(STOPPING_CLIENTS)]
         await asyncio.gather(*tasks)
-        lost = [request_id for user in users for request_id in user.lost]
-        answers = sum((user.answers for user in users), Tally())
-        record.add("summary", answers=dict(answers), lost=len(lost), lost_and_run=len(set(lost) & set(run)))
+        watch.cancel()
+        record.add(
+            "summary",
+            peak_mb=f"{platform.peak_mb:.0f}",
+            limit_mb=LIMITS["memory_mb"],
+            killed=platform.has_killed,
+            answers=dict(users.answers),
+            stopping_clients=dict(users.stopping_answers),
+        )
         print(record.last_line())
-        return not lost
+        return not platform.has_killed
 
-    return run_case(Path(__file__).parent, hosts, hosts, play)
+    return run_case(Path(__file__).parent, hosts, hosts, play, LIMITS)
 
 
 if __name__ == "__main__":
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# Exits with 1 if a request that the gateway had taken got no answer, 0 if all got one, 2 if it could not run.
+# Exits with 1 if the gateway went over its memory limit, 0 if it kept to it, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 PYTHONPATH=. exec .venv/bin/python review/2/case.py
--- a/review/support/gateway.py
+++ b/review/support/gateway.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import tomllib
+from collections.abc import Mapping
 from pathlib import Path
 
 from review.support.http import read_message
@@ -15,6 +16,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 START_TIMEOUT_S = 20.0
 
+DEFAULT_LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
+
 CLASSES = [
     {
         "name": "menu-read",
@@ -81,16 +84,20 @@
 
     Args:
         directory: Folder for its configuration file and its log.
-        discovery: Its discovery agent, which has started.
-        counter: Its counter, which has started.
+        discovery: Its discovery agent, which starts before it.
+        counter: Its counter, which starts before it.
+        limits: The `limits` of its configuration.
 
     Attributes:
         port: The port on which it listens for clients.
         process: The process.
     """
 
-    def __init__(self, directory: Path, discovery: Discovery, counter: Counter) -> None:
+    def __init__(
+        self, directory: Path, discovery: Discovery, counter: Counter, limits: Mapping[str, float]
+    ) -> None:
         self._directory = directory
+        self._limits = limits
         self._discovery = discovery
         self._counter = counter
         self.port = 0
@@ -109,7 +116,7 @@
             "discovery": self._discovery.address,
             "counter": self._counter.address,
             "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": dict(self._limits),
             "known": self._discovery.whole_list(),
             "settings": settings(),
         }
@@ -156,6 +163,18 @@
         assert self.process is not None
         self.process.send_signal(number)
 
+    def memory_mb(self) -> float:
+        """Return the private memory of the process in MB, without that of mapped files; 0 if it has ended."""
+        assert self.process is not None
+        try:
+            status = Path(f"/proc/{self.process.pid}/status").read_text(encoding="utf-8")
+        except OSError:
+            return 0.0
+        for line in status.splitlines():
+            if line.startswith("RssAnon:"):
+                return int(line.split()[1]) / 1024
+        return 0.0
+
     async def stop(self) -> None:
         """Kill the process if it still runs."""
         if self.process is not None and self.process.returncode is None:
--- a/review/support/runner.py
+++ b/review/support/runner.py
@@ -7,10 +7,10 @@
 import sys
 import tempfile
 import traceback
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from pathlib import Path
 
-from review.support.gateway import Gateway
+from review.support.gateway import DEFAULT_LIMITS, Gateway
 from review.support.platform import Counter, Discovery, HttpServer
 from review.support.record import Record
 
@@ -26,7 +26,13 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def run_case(folder: Path, servers: Sequence[HttpServer], hosts: Sequence[HttpServer], play: Scenario) -> int:
+def run_case(
+    folder: Path,
+    servers: Sequence[HttpServer],
+    hosts: Sequence[HttpServer],
+    play: Scenario,
+    limits: Mapping[str, float] = DEFAULT_LIMITS,
+) -> int:
     """Start the stand-ins and one gateway, and play a case.
 
     Args:
@@ -34,6 +40,7 @@
         servers: Stand-ins to start; those that depend on the port of another come after it.
         hosts: Those of them that discovery lists.
         play: The case.
+        limits: The `limits` of the gateway's configuration.
 
     Returns:
         The exit status of the script.
@@ -41,7 +48,7 @@
     record = Record(folder / "record.txt")
     record.add("start", trouble=int(has_trouble()))
     try:
-        has_held = asyncio.run(_run(servers, hosts, play, record))
+        has_held = asyncio.run(_run(servers, hosts, play, record, limits))
     except Exception as error:  # whatever happens, the case could not run
         traceback.print_exc()
         record.add("could_not_run", error=repr(error))
@@ -54,12 +61,16 @@
 
 
 async def _run(
-    servers: Sequence[HttpServer], hosts: Sequence[HttpServer], play: Scenario, record: Record
+    servers: Sequence[HttpServer],
+    hosts: Sequence[HttpServer],
+    play: Scenario,
+    record: Record,
+    limits: Mapping[str, float],
 ) -> bool:
     discovery, counter = Discovery(), Counter()
     started: list[HttpServer] = []
     with tempfile.TemporaryDirectory() as directory:
-        gateway = Gateway(Path(directory), discovery, counter)
+        gateway = Gateway(Path(directory), discovery, counter, limits)
         try:
             async with asyncio.timeout(TIME_LIMIT_S):
                 for server in (counter, *servers):
