--- a/review/support/gateway.py
+++ b/review/support/gateway.py
@@ -121,6 +121,8 @@
             "settings": settings(),
         }
         path.write_text(json.dumps(configuration), encoding="utf-8")
+        environment = {**os.environ, "ROUTER_CONFIG": str(path)}
+        environment.pop("PYTHONPATH", None)  # that of the case
         log_path = self._directory / "gateway.log"
         with log_path.open("wb") as log:
             self.process = await asyncio.create_subprocess_exec(
@@ -128,7 +130,7 @@
                 "-c",
                 _run_command(),
                 cwd=ROOT,
-                env={**os.environ, "ROUTER_CONFIG": str(path)},
+                env=environment,
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
