--- a/review/support/runner.py
+++ b/review/support/runner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 import traceback
@@ -49,7 +50,7 @@
     record.add("start", trouble=int(has_trouble()))
     try:
         has_held = asyncio.run(_run(servers, hosts, play, record, limits))
-    except Exception as error:  # whatever happens, the case could not run
+    except (Exception, asyncio.CancelledError) as error:  # whatever happens, the case could not run
         traceback.print_exc()
         record.add("could_not_run", error=repr(error))
         record.write()
@@ -67,6 +68,7 @@
     record: Record,
     limits: Mapping[str, float],
 ) -> bool:
+    _cancel_at_signals()
     discovery, counter = Discovery(), Counter()
     started: list[HttpServer] = []
     with tempfile.TemporaryDirectory() as directory:
@@ -87,4 +89,14 @@
             await gateway.stop()
             for server in started:
                 await server.stop()
-            print((Path(directory) / "gateway.log").read_text(encoding="utf-8"), file=sys.stderr, end="")
+            log_path = Path(directory) / "gateway.log"
+            if log_path.exists():
+                print(log_path.read_text(encoding="utf-8"), file=sys.stderr, end="")
+
+
+def _cancel_at_signals() -> None:
+    """End the case and all its processes if the script is told to end."""
+    task = asyncio.current_task()
+    assert task is not None
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
