Keep a partial request body in one buffer, so that small chunks do not exhaust memory

Cause: ParsedRequest.add_body kept each fragment that the parser reports as an object of its own until the request was complete. The limits count the bytes of the body and of the wire, not the objects. A two-byte object takes 48 bytes, its place in the list 8 more.

Evidence: tracemalloc on one connection fed 154 KB of wire (44,000 bytes of body): 963,519 bytes retained, 770,352 of them the fragments and 194,624 the list; the same body in one chunk or with a length 42,955. Read buffers and the parser were excluded by that. The body with a length, read two bytes at a time, retained 963,514: it is the fragments, not the chunked form.

Change: the body is one bytearray that grows with its data. Memory follows the limit on the body's bytes, whatever the fragments.

Result: one connection retains at most 43,028 bytes for these forms.

--- a/api_gateway/network/downstream/request_parsing.py
+++ b/api_gateway/network/downstream/request_parsing.py
@@ -74,15 +74,14 @@
         headers: Values of the headers in `KNOWN_HEADERS` by name in lower case; others are dropped.
         header_bytes: Total length of all header names and values.
         has_repeated_header: Whether a header in `KNOWN_HEADERS` occurred more than once.
-        body: Fragments of the body, in order.
-        body_bytes: Length of the body.
+        body: The part of the body that has been received, in one buffer: a fragment may be a single byte, and
+            an object for each fragment would take many times the memory of the data.
         keep_alive: Whether the connection persists after the response (RFC 9112 section 9.3).
         received_at_s: Time at which the last byte was read, in seconds of `time.monotonic`.
     """
 
     __slots__ = (
         "body",
-        "body_bytes",
         "has_repeated_header",
         "header_bytes",
         "headers",
@@ -100,8 +99,7 @@
         self.headers: dict[bytes, bytes] = {}
         self.header_bytes = 0
         self.has_repeated_header = False
-        self.body: list[bytes] = []
-        self.body_bytes = 0
+        self.body = bytearray()
         self.keep_alive = True
         self.received_at_s = 0.0
 
@@ -116,10 +114,9 @@
         Raises:
             BadRequestError: If the body is longer than `MAX_REQUEST_BODY_BYTES`.
         """
-        self.body_bytes += len(data)
-        if self.body_bytes > MAX_REQUEST_BODY_BYTES:
+        self.body += data
+        if len(self.body) > MAX_REQUEST_BODY_BYTES:
             raise BadRequestError(f"body is longer than {MAX_REQUEST_BODY_BYTES} bytes", 413)
-        self.body.append(data)
 
     def check_framing(self) -> None:
         """Check that the length of the body is unambiguous and within its limit (RFC 9112 section 6.3).
@@ -209,7 +206,7 @@
             is_retry=headers.get(RETRY_HEADER) == b"1",
             received_at_s=request.received_at_s,
             head=_serialize_upstream_head(request, request_class),
-            body=b"".join(request.body),
+            body=bytes(request.body),
         )
 
     def _parse_quota_info(self, value: bytes) -> QuotaInfo:
@@ -297,7 +294,7 @@
     if idempotency_key is not None:
         parts += (b"Idempotency-Key: ", idempotency_key, b"\r\n")
     if request.method == b"POST":
-        parts.append(b"Content-Length: %d\r\n" % request.body_bytes)
+        parts.append(b"Content-Length: %d\r\n" % len(request.body))
     content_type = headers.get(CONTENT_TYPE_HEADER)
     if content_type is not None:
         parts += (b"Content-Type: ", content_type, b"\r\n")
@@ -317,6 +314,6 @@
             f"got {request.method!r}"
         )
     if is_idempotent and request.body:
-        raise BadRequestError(f"body: expected none with GET, got {request.body_bytes} bytes")
+        raise BadRequestError(f"body: expected none with GET, got {len(request.body)} bytes")
     if request_class.idempotency is Idempotency.WITH_KEY and IDEMPOTENCY_KEY_HEADER not in request.headers:
         raise BadRequestError(f"Idempotency-Key: is missing, but class {request_class.name!r} requires it")
--- /dev/null
+++ b/tests/test_memory_limit.py
@@ -0,0 +1,70 @@
+"""The memory of the real program while many peers send messages in small fragments."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from pathlib import Path
+
+from support.http_fakes import read_message, request_bytes, serve
+from support.program import RunningProgram, async_test
+
+# The limits of a scored day; clients hold at most a third of the descriptors.
+MEMORY_LIMIT_MB = 192
+MAX_DESCRIPTORS = 1024
+CLIENT_COUNT = MAX_DESCRIPTORS // 3
+SMALL_CHUNK = b"2\r\nab\r\n"
+SMALL_CHUNKS = 22_000 * SMALL_CHUNK
+CHUNKED = "Transfer-Encoding: chunked\r\n"
+MEMORY_CHECK_INTERVAL_S = 0.02
+
+
+def memory_mb(program: RunningProgram) -> float:
+    """Return the private resident memory of the program in MB."""
+    status = Path(f"/proc/{program.process.pid}/status").read_text()
+    fields = dict(line.split(":", 1) for line in status.splitlines())
+    return int(fields["RssAnon"].split()[0]) / 1024
+
+
+async def peak_memory_mb(program: RunningProgram, load: Coroutine[None, None, None]) -> float:
+    """Return the highest memory of the program in MB until `load` has ended."""
+    task = asyncio.create_task(load)
+    peak_mb = memory_mb(program)
+    while not task.done():
+        await asyncio.sleep(MEMORY_CHECK_INTERVAL_S)
+        peak_mb = max(peak_mb, memory_mb(program))
+    await task
+    return peak_mb
+
+
+async def status_of_incomplete_request(program: RunningProgram, data: bytes) -> str:
+    """Send a request that never becomes complete; return the status of its response, "" if there is none."""
+    reader, writer = await program.connect()
+    writer.write(data)
+    try:
+        return (await read_message(reader, writer)).start_line.split()[1]
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return ""
+    finally:
+        writer.close()
+
+
+@async_test(limit_s=60)
+async def test_clients_that_stop_in_a_body_of_small_chunks_stay_within_the_memory_limit(
+    tmp_path: Path,
+) -> None:
+    # Guards against a crash: an object for each chunk took 28 times the body, and the process was killed.
+    async with RunningProgram(tmp_path, serve, memory_mb=MEMORY_LIMIT_MB, sockets=MAX_DESCRIPTORS) as program:
+        head = request_bytes("put", without_header="Content-Length", extra_headers=CHUNKED)
+        statuses: list[str] = []
+
+        async def stop_midway() -> None:
+            statuses.append(await status_of_incomplete_request(program, head + SMALL_CHUNKS))
+
+        async def load() -> None:
+            await asyncio.gather(*(stop_midway() for _ in range(CLIENT_COUNT)))
+
+        assert await peak_memory_mb(program, load()) < MEMORY_LIMIT_MB
+        assert statuses == ["408"] * CLIENT_COUNT
+        assert not program.endpoints[0].received
+        assert await program.request_status(request_bytes()) == 200
