Keep a partial response body in one buffer, so that endless responses do not exhaust memory

The same cause as for request bodies, on the other side: ResponseProtocol.on_body kept each fragment as an object. It serves the connections to endpoints, the counter and discovery.

Evidence: an endless response of 18,000 chunks of two bytes retained 784,010 bytes, one with a length that is read two bytes at a time 1,397,589; 368 connections to endpoints are allowed with 1,024 descriptors.

Change: the body is one bytearray, as for requests; the memory follows the limit on its bytes.

Result: the new test failed before for both forms, and passes.

--- a/api_gateway/network/response_parser.py
+++ b/api_gateway/network/response_parser.py
@@ -89,8 +89,9 @@
 
     def _begin_message(self) -> None:
         self._headers: dict[bytes, bytes] = {}
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        # One buffer, since a fragment may be a single byte, and an object for each fragment would take many
+        # times the memory of the data.
+        self._body = bytearray()
         self._is_in_message = False
 
     # --- Defined by subclasses ----------------------------------------------------------------------------
@@ -224,10 +225,9 @@
         Raises:
             MalformedResponseError: The body exceeds the limit.
         """
-        self._body_bytes += len(data)
-        if self._body_bytes > self._max_body_bytes:
+        self._body += data
+        if len(self._body) > self._max_body_bytes:
             raise MalformedResponseError("body exceeds the size limit")
-        self._body.append(data)
 
     def on_message_complete(self) -> None:
         """Store a final response for delivery, and skip an interim one (1xx)."""
@@ -238,7 +238,7 @@
                 Response(
                     status=status,
                     headers=self._headers,
-                    body=b"".join(self._body),
+                    body=bytes(self._body),
                     keep_alive=self._parser.should_keep_alive(),
                 )
             )
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -1,16 +1,22 @@
-"""The memory of the real program while many peers send messages in small fragments."""
+"""Memory while many peers send messages in small fragments that never become complete."""
 
 from __future__ import annotations
 
 import asyncio
+import tracemalloc
 from collections.abc import Coroutine
 from pathlib import Path
 
+import pytest
 from support.http_fakes import read_message, request_bytes, serve
 from support.program import RunningProgram, async_test
 
+from api_gateway.configuration import max_upstream_connections
+from api_gateway.network.response_parser import ResponseProtocol
+
 # The limits of a scored day; clients hold at most a third of the descriptors.
 MEMORY_LIMIT_MB = 192
+BYTES_PER_MB = 1024 * 1024
 MAX_DESCRIPTORS = 1024
 CLIENT_COUNT = MAX_DESCRIPTORS // 3
 SMALL_CHUNK = b"2\r\nab\r\n"
@@ -68,3 +74,47 @@
         assert statuses == ["408"] * CLIENT_COUNT
         assert not program.endpoints[0].received
         assert await program.request_status(request_bytes()) == 200
+
+
+class SilentResponseProtocol(ResponseProtocol):
+    """A connection to an endpoint whose response never becomes complete."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.connection_made(FakeTransport())
+        self.write(request_bytes())
+
+
+class FakeTransport(asyncio.Transport):
+    """An open transport that writes nothing."""
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        pass
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def is_closing(self) -> bool:
+        return False
+
+    def write(self, data: bytes) -> None:
+        pass
+
+
+# Incomplete responses, each close to the limit of the gateway on its size.
+RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\n"
+RESPONSE_IN_SMALL_CHUNKS = [RESPONSE_HEAD + CHUNKED.encode() + b"\r\n" + 18_000 * SMALL_CHUNK]
+RESPONSE_IN_SMALL_READS = [RESPONSE_HEAD + b"Content-Length: 65536\r\n\r\n", *(32_000 * [b"ab"])]
+
+
+@pytest.mark.parametrize("reads", [RESPONSE_IN_SMALL_CHUNKS, RESPONSE_IN_SMALL_READS])
+def test_endless_responses_in_small_fragments_stay_within_the_memory_limit(reads: list[bytes]) -> None:
+    # Guards against a crash: an object for each fragment took 28 times the body of responses without an end.
+    protocol = SilentResponseProtocol()
+    tracemalloc.start()
+    for data in reads:
+        protocol.data_received(data)
+    retained_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert protocol.response_started()
+    assert retained_bytes * max_upstream_connections(MAX_DESCRIPTORS) < MEMORY_LIMIT_MB * BYTES_PER_MB
