Split the parser of requests from the client connection and from their validation

Cause: downstream/connection.py had grown to 413 lines with two jobs, splitting the input into requests and serving them; request_parsing.py held the parsed request and its validation.

Change: RequestParser and ParsedRequest with the limits on their size are request_parser.py, the validation against the settings is request_validation.py, the connection keeps queue, timeouts and reading. The test module is renamed with it. The bytes discarded after the last request are counted from zero, as the limit on them says.

--- a/api_gateway/network/downstream/connection.py
+++ b/api_gateway/network/downstream/connection.py
@@ -3,19 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import time
-from collections import deque
 from typing import TYPE_CHECKING
 
-import httptools
-
-from api_gateway.network.downstream.request_parsing import (
-    KNOWN_HEADERS,
-    MAX_HEADER_BYTES,
-    MAX_REQUEST_BODY_BYTES,
-    BadRequestError,
-    ParsedRequest,
-)
+from api_gateway.network.downstream.request_parser import BadRequestError, ParsedRequest, RequestParser
 from api_gateway.network.downstream.response_writer import CONTINUE_RESPONSE, serialize_response
 from api_gateway.network.socket_state import has_unread_data, is_closed_by_peer
 
@@ -24,10 +14,6 @@
 
 READY_PATH = b"/ready"
 API_PATH_PREFIX = b"/api/"
-# A chunked body is longer on the wire than its data, since each chunk is preceded by a line with its size.
-MAX_REQUEST_WIRE_BYTES = MAX_HEADER_BYTES + 2 * MAX_REQUEST_BODY_BYTES
-# A further request is an error while more than this many requests are queued.
-MAX_PIPELINED_REQUESTS = 16
 # If more input than this is discarded after the last response, the connection is aborted.
 MAX_DISCARDED_BYTES = 1024 * 1024
 # Time within which a request must be complete. It starts with the first byte or with the previous response,
@@ -67,16 +53,9 @@
         self.receiving_since = 0.0
         self._listener = listener
         self._dispatcher = listener.dispatcher
-        # The body of the request being read. It is one buffer, which the parser extends without a call of
-        # Python code: a fragment may be a single byte, and an object or a call for each would take many times
-        # the memory and the time that the data needs.
-        self._body = bytearray()
-        self.on_body = self._body.extend
-        self._parser = httptools.HttpRequestParser(self)
-        self._partial_request: ParsedRequest | None = None
-        # Counts the bytes of the request being read, or those discarded after the last response.
-        self._received_bytes = 0
-        self._queue: deque[ParsedRequest | BadRequestError] = deque()
+        self._parser = RequestParser(self._send_continue)
+        self._queue = self._parser.queue
+        self._discarded_bytes = 0
         self._is_awaiting_response = False
         self._request_id: str | None = None  # the dispatcher's id of the request in flight
         self._keep_alive = True  # whether the client allows further requests after the one in flight
@@ -99,17 +78,18 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse the data in the buffer, and serve the requests that it completes."""
-        self._received_bytes += nbytes
         if self._is_discarding_input:
-            if self._received_bytes > MAX_DISCARDED_BYTES:
+            self._discarded_bytes += nbytes
+            if self._discarded_bytes > MAX_DISCARDED_BYTES:
                 self.transport.abort()
             return
-        if self._partial_request is None and not self._is_awaiting_response and self.has_responded:
+        if self.has_responded and not (self._is_awaiting_response or self._parser.has_partial_request):
             self._listener.connection_receiving(self)  # starts the timeout for reading a request
         read_buffer = self._listener.read_buffer
         if nbytes == len(read_buffer):
             self._end_turn()
-        self._parse(read_buffer[:nbytes])
+        self._parser.feed(read_buffer[:nbytes])
+        self._is_discarding_input = self._parser.is_finished
         self._serve_queue()
 
     def pause_writing(self) -> None:
@@ -133,70 +113,12 @@
             self._dispatcher.client_disconnected(self._request_id)
             self._request_id = None
 
-    # Callbacks of httptools. An exception that they raise becomes the `__context__` of an HttpParserError.
-
-    def on_message_begin(self) -> None:
-        """Start a request.
-
-        Raises:
-            BadRequestError: If too many requests are queued already.
-        """
-        if len(self._queue) > MAX_PIPELINED_REQUESTS:
-            raise BadRequestError(f"more than {MAX_PIPELINED_REQUESTS} pipelined requests are waiting")
-        self._partial_request = ParsedRequest()
-
-    def on_url(self, url: bytes) -> None:
-        """Append a fragment of the request target."""
-        self._partial_request.target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header if the gateway uses it.
+    # Requests
 
-        Raises:
-            BadRequestError: If the header section is longer than `MAX_HEADER_BYTES`.
-        """
-        request = self._partial_request
-        name = name.lower()
-        request.header_bytes += len(name) + len(value)
-        if request.header_bytes > MAX_HEADER_BYTES:
-            raise BadRequestError(f"header section is longer than {MAX_HEADER_BYTES} bytes")
-        if name in KNOWN_HEADERS:
-            headers = request.headers
-            if name in headers:
-                request.has_repeated_header = True
-            headers[name] = value
-
-    def on_headers_complete(self) -> None:
-        """Check the framing before the body is read.
-
-        Raises:
-            BadRequestError: If the length of the body is ambiguous or too large.
-        """
-        request = self._partial_request
-        request.method = self._parser.get_method()
-        request.path = request.target.partition(b"?")[0]
-        request.check_framing()
-        if not self._is_awaiting_response and request.expects_continue:
+    def _send_continue(self) -> None:
+        if not self._is_awaiting_response:
             self.transport.write(CONTINUE_RESPONSE)
 
-    def on_message_complete(self) -> None:
-        """Queue the complete request.
-
-        Raises:
-            BadRequestError: If its body is longer than `MAX_REQUEST_BODY_BYTES`.
-        """
-        request = self._partial_request
-        self._check_body_length()
-        request.body = bytes(self._body)
-        self._body.clear()
-        request.keep_alive = self._parser.should_keep_alive()
-        request.received_at_s = time.monotonic()
-        self._partial_request = None
-        self._received_bytes = 0
-        self._queue.append(request)
-
-    # Requests
-
     def _end_turn(self) -> None:
         """Read no more of the input in this iteration of the event loop, in which other connections wait."""
         self._is_turn_over = True
@@ -206,42 +128,6 @@
         self._is_turn_over = False
         self._update_reading()
 
-    def _parse(self, data: memoryview) -> None:
-        try:
-            self._parser.feed_data(data)
-            self._check_body_length()
-        except BadRequestError as error:
-            self._queue_error(error)
-        except httptools.HttpParserUpgrade:
-            # Upgrades are not supported: the Upgrade header is ignored and the request served over HTTP/1.1
-            # (RFC 9110 section 7.8). The parser stops here, so this is the last request of the connection.
-            self._is_discarding_input = True
-            self._queue[-1].keep_alive = False
-        except httptools.HttpParserError as error:
-            cause = error.__context__
-            self._queue_error(
-                cause if isinstance(cause, BadRequestError) else BadRequestError("input is not valid HTTP")
-            )
-        else:
-            # Limits input that the parser consumes without a callback, such as an endless header line.
-            is_reading_head = self._partial_request is not None and not self._partial_request.method
-            if self._received_bytes > (MAX_HEADER_BYTES if is_reading_head else MAX_REQUEST_WIRE_BYTES):
-                self._queue_error(
-                    BadRequestError("request exceeds the limit on its header section or on its total size")
-                )
-
-    def _check_body_length(self) -> None:
-        if len(self._body) > MAX_REQUEST_BODY_BYTES:
-            raise BadRequestError(f"body is longer than {MAX_REQUEST_BODY_BYTES} bytes", 413)
-
-    def _queue_error(self, error: BadRequestError) -> None:
-        """Queue an error behind the requests that precede it, and discard all further input."""
-        if not self._is_discarding_input:
-            self._is_discarding_input = True
-            self._partial_request = None
-            self._body.clear()
-            self._queue.append(error)
-
     def _serve_queue(self) -> None:
         """Serve the queued requests one at a time."""
         if self._is_serving_queue or self.transport is None:
@@ -349,10 +235,10 @@
         Args:
             status: Status code of the response.
         """
-        may_be_sending = self._partial_request is not None or 400 <= status < 500
+        may_be_sending = self._parser.has_partial_request or 400 <= status < 500
         self._is_discarding_input = True
         self._queue.clear()
-        self._received_bytes = 0
+        self._discarded_bytes = 0
         if may_be_sending:
             self.transport.write_eof()
         else:
@@ -372,8 +258,9 @@
         if self._is_discarding_input:
             if waited_s > DISCARD_TIMEOUT_S:
                 self.transport.abort()
-        elif self._partial_request is not None and waited_s > REQUEST_READ_TIMEOUT_S:
-            self._queue_error(BadRequestError("request was not complete within its timeout", 408))
+        elif self._parser.has_partial_request and waited_s > REQUEST_READ_TIMEOUT_S:
+            self._parser.fail(BadRequestError("request was not complete within its timeout", 408))
+            self._is_discarding_input = True
             self._serve_queue()
         elif waited_s > self._idle_timeout_s() and self.is_idle():
             self.transport.close()
@@ -388,7 +275,7 @@
         """
         return not (
             self._is_awaiting_response
-            or self._partial_request is not None
+            or self._parser.has_partial_request
             or self._queue
             or self.transport.is_closing()
             or has_unread_data(self.transport)
--- a/api_gateway/network/downstream/listener.py
+++ b/api_gateway/network/downstream/listener.py
@@ -11,7 +11,7 @@
 from api_gateway.configuration import max_downstream_connections
 from api_gateway.network.dispatcher import Dispatcher
 from api_gateway.network.downstream.connection import DownstreamConnection
-from api_gateway.network.downstream.request_parsing import RequestValidator
+from api_gateway.network.downstream.request_validation import RequestValidator
 
 log = logging.getLogger(__name__)
 
--- a/api_gateway/network/downstream/request_parsing.py
+++ b/api_gateway/network/downstream/request_validation.py
@@ -1,4 +1,4 @@
-"""Parsing and validation of client requests, and the request head that is forwarded upstream."""
+"""Validation of client requests, and the request head that is forwarded upstream."""
 
 from __future__ import annotations
 
@@ -6,44 +6,23 @@
 from functools import lru_cache
 from typing import NamedTuple
 
-from api_gateway.errors import GatewayError
 from api_gateway.model.settings import Idempotency, RequestClass, Settings
+from api_gateway.network.downstream.request_parser import BadRequestError, ParsedRequest
 from api_gateway.network.header_names import (
-    CONTENT_LENGTH_HEADER,
     CONTENT_TYPE_HEADER,
     DEADLINE_HEADER,
-    EXPECT_HEADER,
     IDEMPOTENCY_KEY_HEADER,
     PLAN_HEADER,
     QUOTA_INFO_HEADER,
     REQUEST_CLASS_HEADER,
     RETRY_HEADER,
-    TRANSFER_ENCODING_HEADER,
     X_REQUEST_ID_HEADER,
 )
 from api_gateway.network.open_requests import InboundRequest
 
-MAX_HEADER_BYTES = 32 * 1024
-MAX_REQUEST_BODY_BYTES = 64 * 1024
 # The protocol defines a tenant as a number below 2**33, written as 16 hexadecimal digits.
 TENANT_ID_LIMIT = 2**33
 
-KNOWN_HEADERS = frozenset(
-    (
-        X_REQUEST_ID_HEADER,
-        REQUEST_CLASS_HEADER,
-        PLAN_HEADER,
-        DEADLINE_HEADER,
-        QUOTA_INFO_HEADER,
-        RETRY_HEADER,
-        IDEMPOTENCY_KEY_HEADER,
-        CONTENT_LENGTH_HEADER,
-        CONTENT_TYPE_HEADER,
-        TRANSFER_ENCODING_HEADER,
-        EXPECT_HEADER,
-    )
-)
-
 _IDENTIFIER_PATTERN = re.compile(rb"[!-~]{1,128}")
 _TENANT_PATTERN = re.compile(rb"[0-9a-fA-F]{16}")
 _DEADLINE_PATTERN = re.compile(rb"([0-9]{1,12}(?:\.[0-9]{1,6})?)([mu])")
@@ -52,93 +31,6 @@
 _QUOTA_INFO_CACHE_SIZE = 1024
 
 
-class BadRequestError(GatewayError, ValueError):
-    """A request is invalid. It gets a 4xx response, and its connection is closed afterwards.
-
-    The text of the error is for developers: it is neither sent to the client nor logged.
-
-    Attributes:
-        status: Status code of the response.
-    """
-
-    def __init__(self, reason: str, status: int = 400) -> None:
-        super().__init__(reason)
-        self.status = status
-
-
-class ParsedRequest:
-    """A request, filled in by the parser callbacks while its bytes arrive.
-
-    Attributes:
-        target: Request target (RFC 9112 section 3.2).
-        path: Target without its query; empty until the header section is complete.
-        method: Request method; empty until the header section is complete.
-        headers: Values of the headers in `KNOWN_HEADERS` by name in lower case; others are dropped.
-        header_bytes: Total length of all header names and values.
-        has_repeated_header: Whether a header in `KNOWN_HEADERS` occurred more than once.
-        body: The body; empty until the request is complete.
-        keep_alive: Whether the connection persists after the response (RFC 9112 section 9.3).
-        received_at_s: Time at which the last byte was read, in seconds of `time.monotonic`.
-    """
-
-    __slots__ = (
-        "body",
-        "has_repeated_header",
-        "header_bytes",
-        "headers",
-        "keep_alive",
-        "method",
-        "path",
-        "received_at_s",
-        "target",
-    )
-
-    def __init__(self) -> None:
-        self.target = b""
-        self.path = b""
-        self.method = b""
-        self.headers: dict[bytes, bytes] = {}
-        self.header_bytes = 0
-        self.has_repeated_header = False
-        self.body = b""
-        self.keep_alive = True
-        self.received_at_s = 0.0
-
-    @property
-    def expects_continue(self) -> bool:
-        """Whether the client waits for a 100 response before it sends the body (RFC 9110 section 10.1.1)."""
-        return self.headers.get(EXPECT_HEADER, b"").lower() == b"100-continue"
-
-    def check_framing(self) -> None:
-        """Check that the length of the body is unambiguous and within its limit (RFC 9112 section 6.3).
-
-        If two parsers could disagree on where a message ends, its body could smuggle a second request past
-        one of them (RFC 9112 section 11.2).
-
-        Raises:
-            BadRequestError: If the length is ambiguous or above `MAX_REQUEST_BODY_BYTES`.
-        """
-        content_length = self.headers.get(CONTENT_LENGTH_HEADER)
-        transfer_encoding = self.headers.get(TRANSFER_ENCODING_HEADER)
-        if self.has_repeated_header:
-            raise BadRequestError("a header that may occur only once is repeated")
-        if transfer_encoding is not None:
-            if content_length is not None or transfer_encoding.strip().lower() != b"chunked":
-                raise BadRequestError(
-                    "Transfer-Encoding: expected chunked, without Content-Length; "
-                    f"got {transfer_encoding!r}, Content-Length {content_length!r}"
-                )
-            return
-        if content_length is None:
-            return
-        if not content_length.isdigit():
-            raise BadRequestError(f"Content-Length: expected a decimal number, got {content_length!r}")
-        if int(content_length) > MAX_REQUEST_BODY_BYTES:
-            raise BadRequestError(
-                f"Content-Length: expected at most {MAX_REQUEST_BODY_BYTES}, got {content_length!r}", 413
-            )
-
-
 class QuotaInfo(NamedTuple):
     """Value of a Quota-Info header.
 
--- a/tests/test_downstream.py
+++ b/tests/test_downstream.py
@@ -18,7 +18,7 @@
 from api_gateway.network.dispatcher import InboundRequest
 from api_gateway.network.downstream.connection import IDLE_TIMEOUT_S, DownstreamConnection
 from api_gateway.network.downstream.listener import MAX_ACCEPTS_PER_ITERATION, READ_BUFFER_BYTES, Listener
-from api_gateway.network.downstream.request_parsing import MAX_REQUEST_BODY_BYTES
+from api_gateway.network.downstream.request_parser import MAX_REQUEST_BODY_BYTES
 
 
 class FakeDispatcher:
@@ -222,5 +222,7 @@
         client.send(chunked_request(b"ab" * 20_000, 2)[:-5])
     other.sendall(request_bytes(x_request_id=b"other"))
     assert await running.is_served(other)
-    received_bytes = max(connection._received_bytes for connection in running.listener.connections)
-    assert 0 < received_bytes <= 4 * READ_BUFFER_BYTES  # the client reads its response in a later iteration
+    parsers = [connection._parser for connection in running.listener.connections]
+    assert (
+        0 < max(parser.partial_request_bytes for parser in parsers) <= 4 * READ_BUFFER_BYTES
+    )  # the client reads its response in a later iteration
--- a/tests/test_request_parsing.py
+++ b/tests/test_request_validation.py
@@ -1,4 +1,4 @@
-"""Parsing and validation of client requests, without a connection."""
+"""Framing and validation of client requests, without a connection."""
 
 from __future__ import annotations
 
@@ -6,12 +6,12 @@
 from support.gateway_driver import BASIC_PLAN, PAY_CLASS, PUT_CLASS, READ_CLASS, settings
 
 from api_gateway.network.dispatcher import InboundRequest
-from api_gateway.network.downstream.request_parsing import (
+from api_gateway.network.downstream.request_parser import (
     MAX_REQUEST_BODY_BYTES,
     BadRequestError,
     ParsedRequest,
-    RequestValidator,
 )
+from api_gateway.network.downstream.request_validation import RequestValidator
 
 
 def parsed_request(
