Search all connections for one to evict, not only the sixteen oldest

Cause: at the connection limit the search stopped after sixteen candidates, to save a system call for each. If these had unread requests or unsent responses, new clients had to wait although hundreds behind them were idle.

Result: the new test, 17 connections with unread requests before an idle one, failed before and passes.

--- a/api_gateway/network/downstream/listener.py
+++ b/api_gateway/network/downstream/listener.py
@@ -6,7 +6,6 @@
 import errno
 import logging
 import socket
-from itertools import islice
 
 from api_gateway.configuration import max_downstream_connections
 from api_gateway.network.dispatcher import Dispatcher
@@ -23,8 +22,6 @@
 # Size of one read. A connection parses at most this much in one iteration of the event loop: input in small
 # fragments takes long to parse, and many such clients together would delay all others.
 READ_BUFFER_BYTES = 8 * 1024
-# Connections checked in a search for one to evict. Each check takes a system call.
-MAX_EVICTION_CANDIDATES = 16
 
 
 class Listener:
@@ -158,7 +155,7 @@
         reused connection is closed, but report an error if a new connection is closed before any response.
         """
         for receiving in (self._receiving_after_response, self._receiving_first_request):
-            for connection in islice(receiving, MAX_EVICTION_CANDIDATES):
+            for connection in receiving:
                 if connection.is_evictable():
                     return connection
         return None
--- a/tests/test_downstream.py
+++ b/tests/test_downstream.py
@@ -163,6 +163,26 @@
     assert await running.is_closed(second)
 
 
+@async_test(limit_s=5)
+async def test_idle_connection_is_evicted_behind_any_number_with_unread_requests() -> None:
+    # Guards against refused clients: only the 16 oldest connections were candidates for an eviction.
+    running = RunningListener()
+    clients = [running.connect_and_request(b"id-%d" % i) for i in range(18)]
+    for client in clients:
+        assert await running.read(client)
+    running.listener._max_connections = len(clients)
+    by_age = running.listener._receiving_after_response
+    ports = [connection.transport.get_extra_info("peername")[1] for connection in by_age]
+    clients.sort(key=lambda client: ports.index(client.getsockname()[1]))
+    *active, newest = clients
+    for client in active:
+        client.sendall(request_bytes(x_request_id=b"active"))
+    assert running.listener._ensure_connection_slot()
+    for client in active:
+        assert await running.is_served(client)
+    assert await running.is_closed(newest)
+
+
 @async_test(limit_s=5)
 async def test_idle_timeout_spares_a_connection_with_an_unread_request() -> None:
     """A request may reach the kernel just before the timeout; closing the connection would lose it."""
