Name the pause between two reads of a connection a yield, and drop a property

Cause: "turn" was a second word for what asyncio calls yielding; partial_request_bytes was a property over an attribute.

Change: _yield_to_others, _is_yielding and _stop_yielding; a plain attribute. Nothing else.

--- a/api_gateway/network/downstream/connection.py
+++ b/api_gateway/network/downstream/connection.py
@@ -33,7 +33,7 @@
     Requests are served one at a time, in the order of their arrival (pipelining, RFC 9112 section 9.3.2):
 
     * Reading: input goes to the parser, which adds complete requests to a queue. Reading is paused while the
-      queue is not empty, and after each full read buffer until the other connections have had their turn.
+      queue is not empty, and after each full read buffer until the next iteration of the event loop.
     * Awaiting a response: one request has been removed from the queue and is in flight until `respond` is
       called.
     * Discarding input: starts with the last response, or as soon as the input cannot be parsed. Further input
@@ -61,7 +61,7 @@
         self._keep_alive = True  # whether the client allows further requests after the one in flight
         self._is_discarding_input = False
         self._is_serving_queue = False
-        self._is_turn_over = False
+        self._is_yielding = False
         self._is_reading_paused = False
         self._is_writing_paused = False
 
@@ -87,7 +87,7 @@
             self._listener.connection_receiving(self)  # starts the timeout for reading a request
         read_buffer = self._listener.read_buffer
         if nbytes == len(read_buffer):
-            self._end_turn()
+            self._yield_to_others()
         self._parser.feed(read_buffer[:nbytes])
         self._is_discarding_input = self._parser.is_finished
         self._serve_queue()
@@ -119,13 +119,13 @@
         if not self._is_awaiting_response:
             self.transport.write(CONTINUE_RESPONSE)
 
-    def _end_turn(self) -> None:
-        """Read no more of the input in this iteration of the event loop, in which other connections wait."""
-        self._is_turn_over = True
-        self._listener.loop.call_soon(self._begin_turn)
+    def _yield_to_others(self) -> None:
+        """Read no more in this iteration of the event loop, so that other connections are served."""
+        self._is_yielding = True
+        self._listener.loop.call_soon(self._stop_yielding)
 
-    def _begin_turn(self) -> None:
-        self._is_turn_over = False
+    def _stop_yielding(self) -> None:
+        self._is_yielding = False
         self._update_reading()
 
     def _serve_queue(self) -> None:
@@ -141,8 +141,8 @@
         self._update_reading()
 
     def _update_reading(self) -> None:
-        """Pause reading while requests are queued or the turn of the connection is over."""
-        must_pause = bool(self._queue) or self._is_turn_over
+        """Pause reading while requests are queued or the connection yields to others."""
+        must_pause = bool(self._queue) or self._is_yielding
         if must_pause == self._is_reading_paused or self.transport.is_closing():
             return
         self._is_reading_paused = must_pause
--- a/api_gateway/network/downstream/request_parser.py
+++ b/api_gateway/network/downstream/request_parser.py
@@ -140,6 +140,7 @@
     Attributes:
         queue: The complete requests, in the order of their arrival; an error is the last entry.
         is_finished: Whether no request follows those in the queue, so that further input must be discarded.
+        partial_request_bytes: Number of bytes that were fed since the last complete request.
     """
 
     def __init__(self, on_continue_expected: Callable[[], None]) -> None:
@@ -150,9 +151,9 @@
         """
         self.queue: deque[ParsedRequest | BadRequestError] = deque()
         self.is_finished = False
+        self.partial_request_bytes = 0
         self._on_continue_expected = on_continue_expected
         self._partial_request: ParsedRequest | None = None
-        self._partial_request_bytes = 0
         # The body of the partial request. It is one buffer, which the parser extends without a call of Python
         # code: a fragment may be a single byte, and an object or a call for each would take many times the
         # memory and the time that the data needs.
@@ -165,11 +166,6 @@
         """Whether a request has begun and is not complete."""
         return self._partial_request is not None
 
-    @property
-    def partial_request_bytes(self) -> int:
-        """Number of bytes fed since the last complete request."""
-        return self._partial_request_bytes
-
     def feed(self, data: memoryview) -> None:
         """Parse data, and queue the requests or the error that it completes.
 
@@ -178,7 +174,7 @@
         Args:
             data: The next bytes of the connection; not kept.
         """
-        self._partial_request_bytes += len(data)
+        self.partial_request_bytes += len(data)
         try:
             self._http_parser.feed_data(data)
             self._check_body_length()
@@ -215,7 +211,7 @@
     def _check_wire_length(self) -> None:
         """Limit input that the parser consumes without a callback, such as an endless header line."""
         is_reading_head = self._partial_request is not None and not self._partial_request.method
-        if self._partial_request_bytes > (MAX_HEADER_BYTES if is_reading_head else MAX_REQUEST_WIRE_BYTES):
+        if self.partial_request_bytes > (MAX_HEADER_BYTES if is_reading_head else MAX_REQUEST_WIRE_BYTES):
             raise BadRequestError("request exceeds the limit on its header section or on its total size")
 
     # Callbacks of httptools. An exception that they raise becomes the `__context__` of an HttpParserError.
@@ -277,5 +273,5 @@
         request.keep_alive = self._http_parser.should_keep_alive()
         request.received_at_s = time.monotonic()
         self._partial_request = None
-        self._partial_request_bytes = 0
+        self.partial_request_bytes = 0
         self.queue.append(request)
