--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -6,7 +6,7 @@
 import os
 import sys
 import traceback
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 
 from review.standins.counter import Counter
@@ -41,7 +41,11 @@
 
     async def start_hosts(self, count: int, service_s: float = 0.02, one_way_s: float = 0.0) -> None:
         """Start hosts and a discovery agent that lists them."""
-        self.hosts = [Host(f"s-{i}", self.record, service_s, one_way_s) for i in range(count)]
+        await self.add_hosts([Host(f"s-{i}", self.record, service_s, one_way_s) for i in range(count)])
+
+    async def add_hosts(self, hosts: Sequence[Host]) -> None:
+        """Start these hosts and a discovery agent that lists them."""
+        self.hosts = list(hosts)
         for host in self.hosts:
             await host.start()
         self.discovery = Discovery([instance(host.name, host.port) for host in self.hosts])
--- a/review/standins/gateway.py
+++ b/review/standins/gateway.py
@@ -18,6 +18,8 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 READY_TIMEOUT_S = 30.0
+MEMORY_MB = 192
+DESCRIPTORS = 1024
 
 
 def free_port() -> int:
@@ -133,7 +135,7 @@
             "listen": f"127.0.0.1:{self.port}",
             "discovery": f"127.0.0.1:{discovery_port}",
             "seed": f"{time.time_ns():x}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": DESCRIPTORS},
             "settings": values,
         }
         if known is not None:
