--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,51 +1,63 @@
-"""Restart (SIGTERM) while clients wait for the answers to several requests that they sent at once."""
+"""Clients that offer an upgrade with their requests: the body has to pass on unchanged."""
 
 from __future__ import annotations
 
 import asyncio
 import random
-import signal
+import time
 
 from review.standins.case import Case, main
-from review.standins.client import Outcome, ask_at_once, encode_request, new_id
+from review.standins.client import Client, encode_request, new_id
 from review.standins.gateway import settings
 
 HOSTS = 3
 CLIENTS = 8
-AT_ONCE = 3
-SERVICE_S = 0.4
-# From the requests to SIGTERM; SIGKILL comes no sooner than the longest deadline, counted as 3 s, plus 0.7 s.
-BEFORE_SIGTERM_S = 0.2
-SIGKILL_AFTER_S = 3.7
-DEADLINES_MS = {"menu-read": 8000, "order-place": 2500}
-WAIT_S = 9.0
+DURATION_S = 8.0
+PAUSE_S = (0.05, 0.25)
+# One request in this many comes with the offer.
+OFFER_ONE_IN = 3
+ORDER_SHARE = 0.39
+# The offer of HTTP/2 that a client may add to a request of HTTP/1.1 (RFC 7540, section 3.2). A server that
+# does not want the protocol ignores it and answers the request as it stands (RFC 9110, section 7.8).
+OFFER = b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMAAABkAARAAAAAAAIAAAAA\r\n"
 
 
 async def play(case: Case) -> None:
-    """Send requests at once, restart the gateway, and count the requests without an answer."""
-    await case.start_hosts(HOSTS, SERVICE_S)
+    """Send requests with and without the offer, and compare what the hosts got with what was sent."""
+    await case.start_hosts(HOSTS)
     gateway = await case.start_gateway(settings())
-    clients = [asyncio.create_task(_client(case, gateway.port)) for _ in range(CLIENTS)]
-    await asyncio.sleep(BEFORE_SIGTERM_S)
-    if case.trouble:
-        case.record.write("case", "SIGTERM")
-        gateway.send_signal(signal.SIGTERM)
-        asyncio.get_running_loop().call_later(SIGKILL_AFTER_S, gateway.send_signal, signal.SIGKILL)
-    for outcomes in await asyncio.gather(*clients):
-        for outcome in outcomes:
-            if outcome.answer is None:
-                case.broken(f"{outcome.request_id} was taken before SIGTERM and got no answer")
-
-
-async def _client(case: Case, port: int) -> list[Outcome]:
-    requests = []
-    for _ in range(AT_ONCE):
+    ends_at = time.monotonic() + DURATION_S
+    sent: dict[str, bytes] = {}
+    await asyncio.gather(*(_client(case, gateway.port, ends_at, sent) for _ in range(CLIENTS)))
+    for host in case.hosts:
+        for arrival in host.arrivals:
+            wanted, got = sent[arrival.request_id], arrival.request.body
+            if got != wanted:
+                case.broken(
+                    f"{arrival.request.method} {arrival.request_id}: {host.name} ran it with a body of "
+                    f"{len(got)} bytes, the client sent {len(wanted)}"
+                )
+
+
+async def _client(case: Case, port: int, ends_at: float, sent: dict[str, bytes]) -> None:
+    client = Client(port, case.record)
+    while time.monotonic() < ends_at:
         request_id = new_id()
-        name = random.choice(list(DEADLINES_MS))
-        customer = random.randrange(1, 2**33)
-        data = encode_request(request_id, name, customer=customer, deadline_ms=DEADLINES_MS[name])
-        requests.append((request_id, data))
-    return await ask_at_once(port, requests, case.record, WAIT_S)
+        is_order = random.random() < ORDER_SHARE
+        sent[request_id] = f'{{"order": "{request_id}"}}'.encode() if is_order else b""
+        data = encode_request(
+            request_id,
+            "order-place" if is_order else "menu-read",
+            customer=random.randrange(1, 2**33),
+            deadline_ms=2500 if is_order else 8000,
+            body=sent[request_id],
+        )
+        if case.trouble and random.randrange(OFFER_ONE_IN) == 0:
+            data = data.replace(b"X-Request-Id:", OFFER + b"X-Request-Id:", 1)
+            case.record.write("client", f"{request_id} offers an upgrade")
+        await client.ask(request_id, data)
+        await asyncio.sleep(random.uniform(*PAUSE_S))
+    client.close()
 
 
 main(__file__, play)
