--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 from collections.abc import Awaitable, Callable, Sequence
@@ -84,9 +85,13 @@
 
 
 async def _run(case: Case, body: Callable[[Case], Awaitable[None]]) -> int:
+    task = asyncio.current_task()
+    assert task is not None
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     try:
         await asyncio.wait_for(body(case), TIME_LIMIT_S)
-    except Exception:
+    except (Exception, asyncio.CancelledError):
         case.record.write("case", traceback.format_exc())
         traceback.print_exc()
         return COULD_NOT_RUN
