--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,62 +1,88 @@
-"""Clients that offer an upgrade with their requests: the body has to pass on unchanged."""
+"""Bad clients that send a part of a request and close: the gateway has to stay within its memory."""
 
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 import time
+from contextlib import suppress
+from pathlib import Path
 
 from review.standins.case import Case, main
 from review.standins.client import Client, encode_request, new_id
-from review.standins.gateway import settings
+from review.standins.gateway import MEMORY_MB, Gateway, settings
 
 HOSTS = 3
-CLIENTS = 8
-DURATION_S = 8.0
-PAUSE_S = (0.05, 0.25)
-# One request in this many comes with the offer.
-OFFER_ONE_IN = 3
-ORDER_SHARE = 0.39
-# The offer of HTTP/2 that a client may add to a request of HTTP/1.1 (RFC 7540, section 3.2). A server that
-# does not want the protocol ignores it and answers the request as it stands (RFC 9110, section 7.8).
-OFFER = b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMAAABkAARAAAAAAAIAAAAA\r\n"
+USUAL_CLIENTS = 10
+# Under a third of the 1,024 descriptors.
+BAD_CLIENTS = 300
+DURATION_S = 40.0
+BODY_BYTES = 64 * 1024
+SENT_SHARE = (0.5, 0.99)
+REST_S = 0.5
+CHECK_INTERVAL_S = 0.2
+KB_PER_MB = 1024
 
 
 async def play(case: Case) -> None:
-    """Send requests with and without the offer, and compare what the hosts got with what was sent."""
+    """Play usual and bad clients, and kill the gateway, as the platform does, once it is over its memory."""
     await case.start_hosts(HOSTS)
     gateway = await case.start_gateway(settings())
     ends_at = time.monotonic() + DURATION_S
-    sent: dict[str, bytes] = {}
-    await asyncio.gather(*(_client(case, gateway.port, ends_at, sent) for _ in range(CLIENTS)))
-    for host in case.hosts:
-        for arrival in host.arrivals:
-            wanted, got = sent[arrival.request_id], arrival.request.body
-            if got != wanted:
-                case.broken(
-                    f"{arrival.request.method} {arrival.request_id}: {host.name} ran it with a body of "
-                    f"{len(got)} bytes, the client sent {len(wanted)}"
-                )
-
-
-async def _client(case: Case, port: int, ends_at: float, sent: dict[str, bytes]) -> None:
-    client = Client(port, case.record)
+    clients = [asyncio.create_task(_usual_client(case, gateway.port, ends_at)) for _ in range(USUAL_CLIENTS)]
+    if case.trouble:
+        body = os.urandom(BODY_BYTES)
+        clients += [asyncio.create_task(_bad_client(gateway.port, body, ends_at)) for _ in range(BAD_CLIENTS)]
+    await _watch_memory(case, gateway, ends_at)
+    for client in clients:
+        client.cancel()
+    await asyncio.gather(*clients, return_exceptions=True)
+
+
+async def _watch_memory(case: Case, gateway: Gateway, ends_at: float) -> None:
+    assert gateway.process is not None
+    started_at = time.monotonic()
+    peak_mb = 0.0
+    while time.monotonic() < ends_at:
+        await asyncio.sleep(CHECK_INTERVAL_S)
+        memory_mb = _private_mb(gateway.process.pid)
+        peak_mb = max(peak_mb, memory_mb)
+        case.record.write("platform", f"{gateway.name} has {memory_mb:.0f} MB")
+        if memory_mb > MEMORY_MB:
+            after_s = time.monotonic() - started_at
+            case.broken(f"killed for memory after {after_s:.1f} s: {memory_mb:.0f} MB of {MEMORY_MB}")
+            gateway.process.kill()
+            return
+    print(f"peak {peak_mb:.0f} MB")
+
+
+def _private_mb(pid: int) -> float:
+    for line in Path(f"/proc/{pid}/status").read_text(encoding="ascii").splitlines():
+        if line.startswith("RssAnon:"):
+            return int(line.split()[1]) / KB_PER_MB
+    return 0.0
+
+
+async def _bad_client(port: int, body: bytes, ends_at: float) -> None:
+    await asyncio.sleep(random.uniform(0, REST_S))
     while time.monotonic() < ends_at:
-        request_id = new_id()
-        is_order = random.random() < ORDER_SHARE
-        sent[request_id] = f'{{"order": "{request_id}"}}'.encode() if is_order else b""
         data = encode_request(
-            request_id,
-            "order-place" if is_order else "menu-read",
-            customer=random.randrange(1, 2**33),
-            deadline_ms=2500 if is_order else 8000,
-            body=sent[request_id],
+            new_id(), "order-place", random.randrange(1, 2**33), deadline_ms=2500, body=body
         )
-        if case.trouble and random.randrange(OFFER_ONE_IN) == 0:
-            data = data.replace(b"X-Request-Id:", OFFER + b"X-Request-Id:", 1)
-            case.record.write("client", f"{request_id} offers an upgrade")
-        await client.ask(request_id, data)
-        await asyncio.sleep(random.uniform(*PAUSE_S))
+        with suppress(OSError):
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(data[: int(len(data) * random.uniform(*SENT_SHARE))])
+            await asyncio.sleep(random.uniform(0, REST_S))
+            writer.close()
+
+
+async def _usual_client(case: Case, port: int, ends_at: float) -> None:
+    client = Client(port, case.record)
+    while time.monotonic() < ends_at:
+        request_id = new_id()
+        await client.ask(request_id, encode_request(request_id, customer=random.randrange(1, 2**33)))
+        await asyncio.sleep(random.uniform(0.05, 0.25))
     client.close()
 
 
