--- a/review/7/case.py
+++ b/review/7/case.py
@@ -46,6 +46,9 @@
     peak_mb = 0.0
     while time.monotonic() < ends_at:
         await asyncio.sleep(CHECK_INTERVAL_S)
+        if gateway.process.poll() is not None:
+            case.broken(f"the gateway ended by itself with {gateway.process.returncode}")
+            return
         memory_mb = _private_mb(gateway.process.pid)
         peak_mb = max(peak_mb, memory_mb)
         case.record.write("platform", f"{gateway.name} has {memory_mb:.0f} MB")
@@ -54,6 +57,7 @@
             case.broken(f"killed for memory after {after_s:.1f} s: {memory_mb:.0f} MB of {MEMORY_MB}")
             gateway.process.kill()
             return
+    case.require(peak_mb > 0 and any(host.arrivals for host in case.hosts), "nothing was measured")
     print(f"peak {peak_mb:.0f} MB")
 
 
@@ -86,4 +90,4 @@
     client.close()
 
 
-main(__file__, play)
+main(Path(__file__).with_name("record.txt"), play)
--- a/review/standins/gateway.py
+++ b/review/standins/gateway.py
@@ -183,10 +183,19 @@
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
-    def stop(self) -> None:
-        """Kill the program if it still runs, and remove its files."""
+    def kill(self) -> None:
+        """Kill the program if it still runs."""
         if self.process is not None:
             if self.process.poll() is None:
                 self.process.kill()
             self.process.wait()
+
+    def log_lines(self) -> list[str]:
+        """Return the lines that the program has written."""
+        if not self.log_path.exists():
+            return []
+        return self.log_path.read_text(encoding="utf-8", errors="replace").splitlines()
+
+    def remove_files(self) -> None:
+        """Remove the files of the gateway."""
         self._folder.cleanup()
