Limit the messages of all connections together by limits.memory_mb

Cause: messages and connections had limits, their sum had none, and limits.memory_mb was not read: 341 clients may hold 21 MB of bodies beside the 14 MB of the idle process. Attempts that cannot be cancelled kept the body of a closed request, and a connection whose client read nothing was kept for good, since a close waits until all is written. Change: MessageMemory keeps the sum over connections to clients and endpoints, up to a quarter of what exceeds 24 MB. At the limit the oldest incomplete requests are rejected with 503 and Retry-After, then connections with unread responses are aborted. Messages up to 4 KiB are not counted, so small requests are served. The content of a request is freed at its last write; unread responses end their connection after 10 s.

--- a/api_gateway/configuration.py
+++ b/api_gateway/configuration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import resource
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
@@ -27,6 +28,15 @@
 # as valid as any other. With the configured timeout alone, a busy counter would be treated as unavailable.
 COUNTER_TIMEOUT_FACTOR = 3.0
 
+DEFAULT_MAX_MEMORY_MB = 192
+# Memory for everything but messages: the interpreter, the connections, the tenants and the endpoint list.
+BASE_MEMORY_MB = 24.0
+# Fraction of the remaining memory for messages that are incomplete, in flight or unsent. The allocator leaves
+# free memory between them, and some are copied while they are forwarded.
+MESSAGE_MEMORY_FRACTION = 0.25
+MIN_MESSAGE_MEMORY_MB = 1.0
+BYTES_PER_MB = 1024 * 1024
+
 DEFAULT_MAX_DESCRIPTORS = 1024
 MIN_DESCRIPTORS = 128
 # Fractions of the file descriptors for connections from clients and to endpoints.
@@ -48,6 +58,7 @@
         discovery: Host and port of discovery.
         counter: Host and port of the counter; None if the counter is not used.
         seed: Seed of all random draws.
+        max_memory_mb: Memory that the process may use, in MB of 2**20 bytes; 192 by default.
         max_descriptors: File descriptors that the process may hold; 1024 by default, and at most the limit of
             the operating system.
         settings: Settings of the decisions.
@@ -64,6 +75,7 @@
     discovery: Address
     counter: Address | None
     seed: int
+    max_memory_mb: float
     max_descriptors: int
     settings: Settings
     cached_endpoints: EndpointList
@@ -109,7 +121,9 @@
     discovery = _parse_address(raw, "discovery")
     counter_address = _parse_address(raw, "counter") if counter else None
     seed = _parse_seed(raw)
-    max_descriptors = _parse_max_descriptors(raw)
+    limits = _parse_limits(raw)
+    max_memory_mb = _parse_max_memory_mb(limits)
+    max_descriptors = _parse_max_descriptors(limits)
     transport = _parse_transport_settings(values_by_path)
     return Configuration(
         name=str(raw.get("name", "")),
@@ -117,6 +131,7 @@
         discovery=discovery,
         counter=counter_address,
         seed=seed,
+        max_memory_mb=max_memory_mb,
         max_descriptors=max_descriptors,
         settings=settings,
         cached_endpoints=cached_endpoints,
@@ -126,6 +141,16 @@
     )
 
 
+def max_message_bytes(max_memory_mb: float) -> int:
+    """Return the limit on the messages of all connections together, in bytes.
+
+    Args:
+        max_memory_mb: Memory that the process may use.
+    """
+    message_memory_mb = MESSAGE_MEMORY_FRACTION * (max_memory_mb - BASE_MEMORY_MB)
+    return int(max(message_memory_mb, MIN_MESSAGE_MEMORY_MB) * BYTES_PER_MB)
+
+
 def max_downstream_connections(max_descriptors: int) -> int:
     """Return how many connections from clients the process may hold.
 
@@ -205,9 +230,22 @@
         raise ConfigurationError(f"seed: {raw.get('seed')!r} is not a hex number") from None
 
 
-def _parse_max_descriptors(raw: Mapping[str, object]) -> int:
+def _parse_limits(raw: Mapping[str, object]) -> dict[str, object]:
     limits = raw.get("limits") or {}
-    value = limits.get("sockets", DEFAULT_MAX_DESCRIPTORS) if isinstance(limits, dict) else None
+    if not isinstance(limits, dict):
+        raise ConfigurationError("limits: must be an object")
+    return limits
+
+
+def _parse_max_memory_mb(limits: Mapping[str, object]) -> float:
+    value = limits.get("memory_mb", DEFAULT_MAX_MEMORY_MB)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < math.inf:
+        raise ConfigurationError("limits.memory_mb: must be a number above 0")
+    return value
+
+
+def _parse_max_descriptors(limits: Mapping[str, object]) -> int:
+    value = limits.get("sockets", DEFAULT_MAX_DESCRIPTORS)
     if not isinstance(value, int) or value < MIN_DESCRIPTORS:
         raise ConfigurationError(f"limits.sockets: must be a whole number of {MIN_DESCRIPTORS} or more")
     system_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
--- a/api_gateway/network/dispatcher.py
+++ b/api_gateway/network/dispatcher.py
@@ -11,7 +11,7 @@
 import time
 from collections import deque
 
-from api_gateway.configuration import Configuration
+from api_gateway.configuration import Configuration, max_message_bytes
 from api_gateway.decisions.gateway import Gateway
 from api_gateway.model.actions import (
     Action,
@@ -32,6 +32,7 @@
 from api_gateway.network.discovery import DiscoveryWatch
 from api_gateway.network.discovery_codec import EndpointList
 from api_gateway.network.discovery_policy import PollPolicy
+from api_gateway.network.message_memory import MessageMemory
 from api_gateway.network.open_requests import Client, InboundRequest
 from api_gateway.network.request_handler import RequestHandler
 from api_gateway.network.upstream.pool import ConnectionPool
@@ -54,6 +55,7 @@
 
     Attributes:
         settings: The settings from the configuration.
+        message_memory: Limits the memory of the messages of all connections.
         startup_complete: Set when clients may be accepted: discovery has sent an endpoint list, or the time
             to wait for it has passed.
         is_draining: Whether a graceful shutdown has begun; set by the code that shuts the process down.
@@ -68,6 +70,7 @@
     ) -> None:
         self.settings = configuration.settings
         self.startup_complete = asyncio.Event()
+        self.message_memory = MessageMemory(max_message_bytes(configuration.max_memory_mb))
         self.is_draining = False
         self.is_terminated = False
         self._loop = loop
@@ -78,6 +81,7 @@
             configuration=configuration,
             loop=loop,
             pool_class=pool_class,
+            message_memory=self.message_memory,
             lag=self._lag,
             post_event=self._post_event,
         )
--- a/api_gateway/network/downstream/connection.py
+++ b/api_gateway/network/downstream/connection.py
@@ -5,8 +5,15 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from api_gateway.network.downstream.request_parser import BadRequestError, ParsedRequest, RequestParser
+from api_gateway.network.downstream.request_parser import (
+    BadRequestError,
+    ParsedRequest,
+    RequestError,
+    RequestParser,
+    RequestRejectedError,
+)
 from api_gateway.network.downstream.response_writer import CONTINUE_RESPONSE, serialize_response
+from api_gateway.network.message_memory import UNCOUNTED_BYTES
 from api_gateway.network.socket_state import has_unread_data, is_closed_by_peer
 
 if TYPE_CHECKING:
@@ -23,6 +30,8 @@
 IDLE_TIMEOUT_S = 4.0
 # Time from the last response until the connection is aborted, if the client does not close it.
 DISCARD_TIMEOUT_S = 1.0
+# Time from a response until the connection is aborted, if the client has not read the response.
+UNREAD_RESPONSE_TIMEOUT_S = 10.0
 # During shutdown, a new connection stays open for this long, since its first request may be in transit.
 FIRST_REQUEST_TRANSIT_S = 0.1
 
@@ -55,9 +64,11 @@
         self._dispatcher = listener.dispatcher
         self._parser = RequestParser(self._send_continue)
         self._queue = self._parser.queue
+        self._memory = listener.dispatcher.message_memory
         self._discarded_bytes = 0
         self._is_awaiting_response = False
         self._request_id: str | None = None  # the dispatcher's id of the request in flight
+        self._request_bytes = 0  # approximate memory of the request in flight
         self._keep_alive = True  # whether the client allows further requests after the one in flight
         self._is_discarding_input = False
         self._is_serving_queue = False
@@ -70,6 +81,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the listener."""
         self.transport = transport
+        transport.set_write_buffer_limits(high=UNCOUNTED_BYTES)
         self._listener.connection_opened(self)
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -89,6 +101,9 @@
         if nbytes == len(read_buffer):
             self._yield_to_others()
         self._parser.feed(read_buffer[:nbytes])
+        if not self._update_memory():
+            self._parser.fail_newest_request(self._out_of_memory_error())
+            self._update_memory()
         self._is_discarding_input = self._parser.is_finished
         self._serve_queue()
 
@@ -99,6 +114,7 @@
     def resume_writing(self) -> None:
         """Continue to serve the queued requests."""
         self._is_writing_paused = False
+        self._update_memory()
         self._serve_queue()
 
     def eof_received(self) -> None:
@@ -109,6 +125,7 @@
         self._listener.connection_closed(self)
         self._is_discarding_input = True
         self._parser.close()
+        self._memory.remove(self)
         if self._request_id is not None:
             self._dispatcher.client_disconnected(self._request_id)
             self._request_id = None
@@ -151,17 +168,18 @@
         else:
             self.transport.resume_reading()
 
-    def _serve(self, request: ParsedRequest | BadRequestError) -> None:
+    def _serve(self, request: ParsedRequest | RequestError) -> None:
         self._is_awaiting_response = True
         self._listener.connection_awaiting_response(self)
-        if isinstance(request, BadRequestError):
-            self._respond_to_bad_request(request)
+        if isinstance(request, RequestError):
+            self._respond_to_error(request)
             return
         self._keep_alive = request.keep_alive
+        self._request_bytes = request.size_bytes
         try:
             self._route(request)
         except BadRequestError as error:
-            self._respond_to_bad_request(error)
+            self._respond_to_error(error)
 
     def _route(self, request: ParsedRequest) -> None:
         path = request.path
@@ -196,6 +214,7 @@
             retry_after_ms: Time for Retry-After, in milliseconds; 0 to omit the header.
         """
         self._request_id = None
+        self._request_bytes = 0
         self._is_awaiting_response = False
         self.has_responded = True
         if self.transport.is_closing():
@@ -206,11 +225,13 @@
         self._listener.connection_receiving(self)
         if not keep_alive:
             self._close_after_response(status)
+        if not self._update_memory():
+            self.transport.abort()
         self._serve_queue()
 
-    def _respond_to_bad_request(self, error: BadRequestError) -> None:
+    def _respond_to_error(self, error: RequestError) -> None:
         self._keep_alive = False  # makes repeated bad requests cost the client a new connection each
-        self.respond(error.status)
+        self.respond(error.status, retry_after_ms=error.retry_after_ms)
 
     def abort_if_disconnected(self) -> bool:
         """Abort the connection if the client has closed it.
@@ -229,21 +250,52 @@
     def _close_after_response(self, status: int) -> None:
         """Close the connection, or half-close it if the client may be sending, and discard further input.
 
-        The client may be sending if a request is partly read, or if the request was invalid (4xx), since its
-        body or further requests may follow.
+        The client may be sending if a request is partly read or was not read to its end, or if the request
+        was invalid (4xx), since its body or further requests may follow.
 
         Args:
             status: Status code of the response.
         """
-        may_be_sending = self._parser.has_partial_request or 400 <= status < 500
+        may_be_sending = self._parser.has_partial_request or self._parser.is_finished or 400 <= status < 500
         self._is_discarding_input = True
-        self._queue.clear()
+        self._parser.close()
         self._discarded_bytes = 0
         if may_be_sending:
             self.transport.write_eof()
         else:
             self.transport.close()
 
+    # Memory
+
+    def _update_memory(self) -> bool:
+        """Record the memory of this connection's messages; return whether it is within the limit."""
+        held_bytes = self._parser.held_bytes + self._request_bytes
+        if self._is_writing_paused:
+            held_bytes += self.transport.get_write_buffer_size()
+        return self._memory.update(self, held_bytes)
+
+    def _out_of_memory_error(self) -> RequestRejectedError:
+        # By then, requests that are incomplete now are either complete or have timed out.
+        retry_after_ms = min(1000 * REQUEST_READ_TIMEOUT_S, self._dispatcher.settings.max_retry_after_ms)
+        return RequestRejectedError("the messages of all connections exceed their limit", retry_after_ms)
+
+    def reject_partial_request(self) -> None:
+        """Reject the request that is being read and free its memory; do nothing if there is none."""
+        if self._parser.has_partial_request:
+            self._fail_partial_request(self._out_of_memory_error())
+
+    def abort_if_response_unread(self) -> None:
+        """Abort the connection and free its memory if the client has left a response unread."""
+        if self._is_writing_paused:
+            self._memory.remove(self)
+            self.transport.abort()
+
+    def _fail_partial_request(self, error: RequestError) -> None:
+        self._parser.fail(error)
+        self._is_discarding_input = True
+        self._update_memory()
+        self._serve_queue()
+
     # Timeouts, eviction and shutdown
 
     def enforce_timeouts(self, now: float) -> None:
@@ -255,13 +307,13 @@
             now: Time of the event loop in seconds.
         """
         waited_s = now - self.receiving_since
-        if self._is_discarding_input:
+        if waited_s > UNREAD_RESPONSE_TIMEOUT_S and self._is_writing_paused:
+            self.transport.abort()
+        elif self._is_discarding_input:
             if waited_s > DISCARD_TIMEOUT_S:
                 self.transport.abort()
         elif self._parser.has_partial_request and waited_s > REQUEST_READ_TIMEOUT_S:
-            self._parser.fail(BadRequestError("request was not complete within its timeout", 408))
-            self._is_discarding_input = True
-            self._serve_queue()
+            self._fail_partial_request(BadRequestError("request was not complete within its timeout", 408))
         elif waited_s > self._idle_timeout_s() and self.is_idle():
             self.transport.close()
 
@@ -269,12 +321,13 @@
         return IDLE_TIMEOUT_S if self.has_responded else REQUEST_READ_TIMEOUT_S
 
     def is_idle(self) -> bool:
-        """Return whether no request is in flight, queued, being read, or unread in the socket buffer.
+        """Return whether no request is in flight, queued, being read, discarded, or unread in the socket.
 
         Closing a connection with an unread request would make the request fail at the client.
         """
         return not (
             self._is_awaiting_response
+            or self._is_discarding_input
             or self._parser.has_partial_request
             or self._queue
             or self.transport.is_closing()
--- a/api_gateway/network/downstream/request_parser.py
+++ b/api_gateway/network/downstream/request_parser.py
@@ -27,6 +27,8 @@
 MAX_REQUEST_BODY_BYTES = 64 * 1024
 # A chunked body is longer on the wire than its data, since each chunk is preceded by a line with its size.
 MAX_REQUEST_WIRE_BYTES = MAX_HEADER_BYTES + 2 * MAX_REQUEST_BODY_BYTES
+# Approximate memory of the objects of one request, besides its target, headers and body.
+REQUEST_OBJECTS_BYTES = 1024
 # A further request is an error while more than this many requests are queued.
 MAX_PIPELINED_REQUESTS = 16
 
@@ -47,18 +49,34 @@
 )
 
 
-class BadRequestError(GatewayError, ValueError):
-    """A request is invalid. It gets a 4xx response, and its connection is closed afterwards.
+class RequestError(GatewayError):
+    """A request is not served. It gets an error response, and its connection is closed afterwards.
 
     The text of the error is for developers: it is neither sent to the client nor logged.
 
     Attributes:
         status: Status code of the response.
+        retry_after_ms: Time after which the client may retry, in milliseconds; 0 omits Retry-After.
     """
 
-    def __init__(self, reason: str, status: int = 400) -> None:
+    def __init__(self, reason: str, status: int, retry_after_ms: float = 0.0) -> None:
         super().__init__(reason)
         self.status = status
+        self.retry_after_ms = retry_after_ms
+
+
+class BadRequestError(RequestError, ValueError):
+    """A request is invalid; the status of its response is 4xx."""
+
+    def __init__(self, reason: str, status: int = 400) -> None:
+        super().__init__(reason, status)
+
+
+class RequestRejectedError(RequestError):
+    """A request cannot be held in memory; the status of its response is 503."""
+
+    def __init__(self, reason: str, retry_after_ms: float) -> None:
+        super().__init__(reason, 503, retry_after_ms)
 
 
 class ParsedRequest:
@@ -104,6 +122,11 @@
         """Whether the client waits for a 100 response before it sends the body (RFC 9110 section 10.1.1)."""
         return self.headers.get(EXPECT_HEADER, b"").lower() == b"100-continue"
 
+    @property
+    def size_bytes(self) -> int:
+        """Approximate memory that the request takes, its objects included."""
+        return REQUEST_OBJECTS_BYTES + len(self.target) + self.header_bytes + len(self.body)
+
     def check_framing(self) -> None:
         """Check that the length of the body is unambiguous and within its limit (RFC 9112 section 6.3).
 
@@ -149,7 +172,7 @@
         Args:
             on_continue_expected: Called when a client waits for a 100 response before it sends the body.
         """
-        self.queue: deque[ParsedRequest | BadRequestError] = deque()
+        self.queue: deque[ParsedRequest | RequestError] = deque()
         self.is_finished = False
         self.partial_request_bytes = 0
         self._on_continue_expected: Callable[[], None] | None = on_continue_expected
@@ -166,6 +189,21 @@
         """Whether a request has begun and is not complete."""
         return self._partial_request is not None
 
+    @property
+    def held_bytes(self) -> int:
+        """Approximate memory of the partial request and the queued ones."""
+        partial_request = self._partial_request
+        if partial_request is None:
+            held_bytes = 0
+        elif partial_request.method:
+            held_bytes = partial_request.size_bytes + len(self._body)
+        else:  # the parser may hold the beginning of a header line
+            held_bytes = REQUEST_OBJECTS_BYTES + self.partial_request_bytes
+        for request in self.queue:
+            if isinstance(request, ParsedRequest):
+                held_bytes += request.size_bytes
+        return held_bytes
+
     def feed(self, data: memoryview) -> None:
         """Parse data, and queue the requests or the error that it completes.
 
@@ -192,7 +230,7 @@
         except BadRequestError as error:
             self.fail(error)
 
-    def fail(self, error: BadRequestError) -> None:
+    def fail(self, error: RequestError) -> None:
         """Queue an error in place of the partial request; does nothing if the parser is finished.
 
         Args:
@@ -204,8 +242,20 @@
             self._body.clear()
             self.queue.append(error)
 
+    def fail_newest_request(self, error: RequestError) -> None:
+        """Queue an error in place of the partial request or, if there is none, of the newest complete one.
+
+        Does nothing if the parser is finished.
+
+        Args:
+            error: The error.
+        """
+        if not (self.is_finished or self.has_partial_request) and self.queue:
+            self.queue.pop()
+        self.fail(error)
+
     def close(self) -> None:
-        """Free everything that the parser holds; its connection has ended.
+        """Free everything that the parser holds; further input of its connection is discarded.
 
         httptools refers to the callbacks of the parser, and these to the parser and its connection. Until
         the garbage collector found this reference cycle, all of them would stay, with the partial body.
--- a/api_gateway/network/open_requests.py
+++ b/api_gateway/network/open_requests.py
@@ -48,8 +48,9 @@
         first_gateway: Index of the first of these gateways.
         is_retry: Whether it is a retry by the client.
         received_at_s: When its last byte was read, in s of `time.monotonic`.
-        head: Request line and headers for the endpoint, without `X-Deadline` and the empty line.
-        body: The body.
+        head: Request line and headers for the endpoint, without `X-Deadline` and the empty line; empty once
+            the request is closed.
+        body: The body; empty once the request is closed.
     """
 
     x_request_id: bytes
@@ -65,6 +66,10 @@
     head: bytes
     body: bytes
 
+    def discard_content(self) -> None:
+        """Free head and body, which no further attempt needs."""
+        self.head = self.body = b""
+
     def x_request_id_text(self) -> str:
         """Return the value of X-Request-Id as text for the log."""
         return self.x_request_id.decode("latin-1")
--- a/api_gateway/network/request_handler.py
+++ b/api_gateway/network/request_handler.py
@@ -13,6 +13,7 @@
 from api_gateway.model.results import AttemptResult
 from api_gateway.network.clock import EventLoopLag
 from api_gateway.network.header_names import BILLED_UNITS_HEADER, CONTENT_TYPE_HEADER
+from api_gateway.network.message_memory import MessageMemory
 from api_gateway.network.open_requests import Client, InboundRequest, OpenRequest, OpenRequests
 from api_gateway.network.response_parser import Response
 from api_gateway.network.upstream.attempt import Attempt
@@ -38,6 +39,7 @@
         configuration: The gateway's configuration.
         loop: The event loop.
         pool_class: Class of the upstream connection pool.
+        message_memory: Limits the memory of the messages of all connections.
         lag: Measures the lag of the event loop.
         post_event: Passes an event to the decisions.
 
@@ -52,6 +54,7 @@
         configuration: Configuration,
         loop: asyncio.AbstractEventLoop,
         pool_class: type[ConnectionPool],
+        message_memory: MessageMemory,
         lag: EventLoopLag,
         post_event: Callable[[Event], None],
     ) -> None:
@@ -61,6 +64,7 @@
             max_connections=max_upstream_connections(configuration.max_descriptors),
             connect_timeout_ms=configuration.connect_timeout_ms,
             idle_timeout_ms=configuration.idle_timeout_ms,
+            message_memory=message_memory,
             on_attempt_ended=self._on_attempt_ended,
             close_if_client_disconnected=self._close_if_client_of_attempt_disconnected,
         )
@@ -177,8 +181,13 @@
             self._post_event(ClientDisconnected(request.request_id))
 
     def _close_request(self, request: OpenRequest) -> Client:
-        """Detach the client from its request and return it, and cancel the deadline timer."""
+        """Detach the client from its request and return it, and cancel the deadline timer.
+
+        No further attempt starts, so the request's content is freed: an attempt that cannot be cancelled may
+        outlast its client by far.
+        """
         client, request.client = request.client, None
+        request.inbound.discard_content()
         request.deadline_timer.cancel()
         self.requests.remove_if_finished(request)
         return client
--- a/api_gateway/network/response_parser.py
+++ b/api_gateway/network/response_parser.py
@@ -86,7 +86,8 @@
 class ResponseProtocol(asyncio.Protocol):
     """Parses responses and matches them to the written requests in order (RFC 9112, section 9.3.2).
 
-    A subclass defines `response_received`, `malformed_response` and `connection_closed`.
+    A subclass defines `response_received`, `malformed_response` and `connection_closed`. It may define
+    `may_hold`.
 
     Attributes:
         transport: The connection; None before it is open.
@@ -129,6 +130,13 @@
         """Handle the end of the connection, which either side may have closed."""
         raise NotImplementedError
 
+    def may_hold(self, size_bytes: int) -> bool:
+        """Return whether the connection may hold unsent requests and a partial response of this total size.
+
+        Called whenever that size has changed; True by default.
+        """
+        return True
+
     # --- Used by subclasses and their owners --------------------------------------------------------------
 
     def write(self, data: bytes) -> None:
@@ -136,6 +144,8 @@
         self._expected_responses += 1
         self.transport.write(data)
         self.has_unsent_data = self.transport.get_write_buffer_size() > 0
+        if self.has_unsent_data and not self.may_hold(self._held_bytes()):
+            self.abort()
 
     def abort(self) -> None:
         """Close the connection at once and discard unsent data."""
@@ -160,12 +170,13 @@
     def resume_writing(self) -> None:
         """Record that the last byte has left this process."""
         self.has_unsent_data = False
+        self.may_hold(self._held_bytes())
 
     def data_received(self, data: bytes) -> None:
         """Parse received data, then deliver the responses that it completes."""
         if self.transport.is_closing():
             return
-        is_valid = self._parse(data)
+        is_valid = self._parse(data) and self.may_hold(self._held_bytes())
         # An unsolicited response, such as a duplicate of the first one, would be matched to the next
         # request. So all data received together is parsed before a response in it is delivered.
         complete, self._complete_responses = self._complete_responses, []
@@ -190,6 +201,10 @@
         self._parser = None
         self._begin_message()
 
+    def _held_bytes(self) -> int:
+        """Return an upper bound of the memory that unsent requests and the partial response take."""
+        return self.transport.get_write_buffer_size() + self._received_bytes
+
     def _parse(self, data: bytes) -> bool:
         """Feed data to the parser.
 
--- a/api_gateway/network/upstream/attempt.py
+++ b/api_gateway/network/upstream/attempt.py
@@ -23,8 +23,8 @@
         request_id: Id of the request that it is made for.
         number: Its index within the request, from 0.
         endpoint_name: Name of the endpoint that it is sent to.
-        head: Request line and headers, without `X-Deadline` and the empty line.
-        body: The request's body.
+        head: Request line and headers, without `X-Deadline` and the empty line; empty after the write.
+        body: The request's body; empty after the write.
         started_at: When it was started.
         deadline: When it times out without a response.
         write_deadline: When it is withdrawn if it still has unsent bytes.
@@ -61,6 +61,10 @@
         remaining_ms = max((self.deadline - now) * 1000, 1)
         return b"%bX-Deadline: %dm\r\n\r\n%b" % (self.head, remaining_ms, self.body)
 
+    def discard_content(self) -> None:
+        """Free head and body, which are not needed after the write."""
+        self.head = self.body = b""
+
     def has_unsent_bytes(self) -> bool:
         """Return whether part of the request has not left this process, so that it cannot have run."""
         return self.connection is None or self.connection.has_unsent_data
--- a/api_gateway/network/upstream/connection.py
+++ b/api_gateway/network/upstream/connection.py
@@ -10,6 +10,7 @@
 from api_gateway.network.response_parser import Response, ResponseProtocol
 
 if TYPE_CHECKING:
+    from api_gateway.network.message_memory import MessageMemory
     from api_gateway.network.upstream.attempt import Attempt
     from api_gateway.network.upstream.endpoint import UpstreamEndpoint
     from api_gateway.network.upstream.pool import ConnectionPool
@@ -25,9 +26,12 @@
         idle_since: When its last response was complete, in s of event-loop time; 0 before the first response.
     """
 
-    def __init__(self, pool: ConnectionPool, endpoint: UpstreamEndpoint) -> None:
+    def __init__(
+        self, pool: ConnectionPool, endpoint: UpstreamEndpoint, message_memory: MessageMemory
+    ) -> None:
         super().__init__()
         self._pool = pool
+        self._memory = message_memory
         self.endpoint = endpoint
         self.attempt: Attempt | None = None
         self.is_reused = False
@@ -39,6 +43,7 @@
         attempt.connection = self
         self.is_reused = self.idle_since > 0
         self.write(attempt.request_bytes(time.monotonic()))
+        attempt.discard_content()
 
     def is_reusable(self) -> bool:
         """Return whether the connection is open and has no unread data.
@@ -68,4 +73,17 @@
 
     def connection_closed(self) -> None:
         """Report the end of the connection to the pool."""
+        self._memory.remove(self)
         self._pool.connection_closed(self)
+
+    # Memory
+
+    def may_hold(self, size_bytes: int) -> bool:
+        """Record the size of the unsent request and the partial response; return whether it is allowed."""
+        return self._memory.update(self, size_bytes)
+
+    def reject_partial_request(self) -> None:
+        """Do nothing: the connection receives responses."""
+
+    def abort_if_response_unread(self) -> None:
+        """Do nothing: the connection receives responses."""
--- a/api_gateway/network/upstream/pool.py
+++ b/api_gateway/network/upstream/pool.py
@@ -10,6 +10,7 @@
 
 from api_gateway.model.results import AttemptResult
 from api_gateway.network.clock import TIMEOUT_READ_DELAY_S
+from api_gateway.network.message_memory import MessageMemory
 from api_gateway.network.response_parser import Response
 from api_gateway.network.upstream.attempt import Attempt, result_of_response
 from api_gateway.network.upstream.connection import UpstreamConnection
@@ -35,6 +36,7 @@
         max_connections: Limit on the connections to all endpoints, pending connects included.
         connect_timeout_ms: Time within which a connection must be established.
         idle_timeout_ms: Time after which the endpoints close an idle connection.
+        message_memory: Limits the memory of the messages of all connections.
         on_attempt_ended: Called once for each attempt with its result, and its response if that is complete.
         close_if_client_disconnected: Closes the request of an attempt if its client has disconnected, and
             returns whether no client waits for its response. Called when a connect has succeeded.
@@ -47,6 +49,7 @@
         max_connections: int,
         connect_timeout_ms: float,
         idle_timeout_ms: float,
+        message_memory: MessageMemory,
         on_attempt_ended: Callable[[Attempt, AttemptResult, Response | None], None],
         close_if_client_disconnected: Callable[[Attempt], bool],
     ) -> None:
@@ -54,6 +57,7 @@
         self._max_connections = max_connections
         self._connect_timeout_s = connect_timeout_ms / 1000
         self._idle_timeout_s = IDLE_TIMEOUT_FRACTION * idle_timeout_ms / 1000
+        self._message_memory = message_memory
         self._on_attempt_ended = on_attempt_ended
         self._close_if_client_disconnected = close_if_client_disconnected
         self._endpoints: dict[str, UpstreamEndpoint] = {}
@@ -205,7 +209,9 @@
             return
         self._pending_connects[attempt] = endpoint
         attempt.connect_task = self._loop.create_task(
-            self._loop.create_connection(lambda: UpstreamConnection(self, endpoint), *endpoint.address)
+            self._loop.create_connection(
+                lambda: UpstreamConnection(self, endpoint, self._message_memory), *endpoint.address
+            )
         )
         attempt.connect_task.add_done_callback(partial(self._on_connect_done, attempt))
         attempt.connect_timer = self._loop.call_later(
--- a/testbed/simulated_pool.py
+++ b/testbed/simulated_pool.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 
 from api_gateway.model.results import AttemptResult
+from api_gateway.network.message_memory import MessageMemory
 from api_gateway.network.response_parser import Response
 from api_gateway.network.upstream.attempt import Attempt
 from testbed.endpoint_server import MEAN_SERVICE_TIME_MS, SERVICE_TIME_VARIATION_COEFFICIENT, ServiceTimes
@@ -52,6 +53,7 @@
         max_connections: int,
         connect_timeout_ms: float,
         idle_timeout_ms: float,
+        message_memory: MessageMemory,
         on_attempt_ended: Callable[[Attempt, AttemptResult, Response | None], None],
         close_if_client_disconnected: Callable[[Attempt], bool],
     ) -> None:
--- a/tests/test_downstream.py
+++ b/tests/test_downstream.py
@@ -19,6 +19,7 @@
 from api_gateway.network.downstream.connection import IDLE_TIMEOUT_S, DownstreamConnection
 from api_gateway.network.downstream.listener import MAX_ACCEPTS_PER_ITERATION, READ_BUFFER_BYTES, Listener
 from api_gateway.network.downstream.request_parser import MAX_REQUEST_BODY_BYTES
+from api_gateway.network.message_memory import MessageMemory
 
 
 class FakeDispatcher:
@@ -26,21 +27,24 @@
 
     Attributes:
         x_request_ids: X-Request-Id of each request, in the order of arrival.
+        response_body: Body of each response.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, message_bytes: int) -> None:
         plan = dataclasses.replace(BASIC_PLAN, name="team")
         self.settings = settings(classes=(READ_CLASS, PUT_CLASS), plans=(plan,), fleet_size=1)
+        self.message_memory = MessageMemory(message_bytes)
         self.is_draining = False
         self.is_terminated = False
         self.x_request_ids: list[bytes] = []
+        self.response_body = b"served"
 
     def is_ready(self) -> bool:
         return True
 
     def submit(self, client: DownstreamConnection, inbound_request: InboundRequest) -> str:
         self.x_request_ids.append(inbound_request.x_request_id)
-        client.respond(200, b"served")
+        client.respond(200, self.response_body)
         return inbound_request.x_request_id.decode()
 
     def client_disconnected(self, request_id: str) -> None:
@@ -50,8 +54,8 @@
 class RunningListener:
     """A listener in this process, and clients that connect and send without running the event loop."""
 
-    def __init__(self, max_descriptors: int = 1024) -> None:
-        self.dispatcher = FakeDispatcher()
+    def __init__(self, max_descriptors: int = 1024, message_bytes: int = 1024 * 1024) -> None:
+        self.dispatcher = FakeDispatcher(message_bytes)
         self.listener = Listener(self.dispatcher, asyncio.get_running_loop(), max_descriptors)
         self.address = self.listener.start((LOOPBACK, 0))
 
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -1,20 +1,30 @@
-"""Memory while many peers send messages in small fragments that never become complete."""
+"""Memory while many peers send messages that are large or never become complete."""
 
 from __future__ import annotations
 
 import asyncio
+import time
 import tracemalloc
 from collections.abc import Coroutine
 from pathlib import Path
 
 import pytest
-from support.http_fakes import read_message, request_bytes, serve
+from support.http_fakes import ReceivedMessage, read_message, request_bytes, serve
+from support.misbehaving_clients import (
+    Misbehaviour,
+    leave_midway,
+    send_many_header_fields,
+    send_whole_bodies,
+    stop_midway,
+    write_slowly,
+)
 from support.program import RunningProgram, async_test
 
 from api_gateway.configuration import max_upstream_connections
 from api_gateway.network.response_parser import ResponseProtocol
 
-# The limits of a scored day; clients hold at most a third of the descriptors.
+# The least and the most memory of a scored day, and the most descriptors; clients hold a third at most.
+MIN_MEMORY_LIMIT_MB = 32
 MEMORY_LIMIT_MB = 192
 BYTES_PER_MB = 1024 * 1024
 MAX_DESCRIPTORS = 1024
@@ -23,6 +33,8 @@
 SMALL_CHUNKS = 22_000 * SMALL_CHUNK
 CHUNKED = "Transfer-Encoding: chunked\r\n"
 MEMORY_CHECK_INTERVAL_S = 0.02
+MISBEHAVIOUR_DURATION_S = 4.0
+SMALL_REQUEST_INTERVAL_S = 0.1
 
 
 def memory_mb(program: RunningProgram) -> float:
@@ -76,6 +88,43 @@
         assert await program.request_status(request_bytes()) == 200
 
 
+def serve_reads(request: ReceivedMessage) -> bytes | None:
+    """Serve idempotent requests only, and leave all others without a response."""
+    return serve(request) if request.start_line.startswith("GET ") else None
+
+
+async def request_until(program: RunningProgram, ends_at: float, statuses: list[int]) -> None:
+    """Send small requests, one at a time, until a time of `time.monotonic`, and record their statuses."""
+    number = 0
+    while time.monotonic() < ends_at:
+        number += 1
+        statuses.append(await program.request_status(request_bytes(x_request_id=b"small-%d" % number)))
+        await asyncio.sleep(SMALL_REQUEST_INTERVAL_S)
+
+
+@pytest.mark.parametrize("limit_mb", [MIN_MEMORY_LIMIT_MB, MEMORY_LIMIT_MB])
+@pytest.mark.parametrize(
+    "misbehave", [leave_midway, stop_midway, write_slowly, send_many_header_fields, send_whole_bodies]
+)
+@async_test(limit_s=60)
+async def test_hundreds_of_misbehaving_clients_stay_within_the_memory_limit(
+    tmp_path: Path, misbehave: Misbehaviour, limit_mb: int
+) -> None:
+    # Guards against a crash: messages had a limit each, but their sum over all connections had none.
+    async with RunningProgram(tmp_path, serve_reads, memory_mb=limit_mb, sockets=MAX_DESCRIPTORS) as program:
+        ends_at = time.monotonic() + MISBEHAVIOUR_DURATION_S
+        statuses: list[int] = []
+
+        async def load() -> None:
+            clients = [misbehave(program, ends_at, seed) for seed in range(CLIENT_COUNT)]
+            await asyncio.gather(*clients, request_until(program, ends_at, statuses))
+
+        assert await peak_memory_mb(program, load()) < limit_mb
+        # Endpoints that do not respond may lead to load shedding, which rejects requests.
+        assert set(statuses) <= {200, 503} and 200 in statuses
+        assert program.process.returncode is None
+
+
 class SilentResponseProtocol(ResponseProtocol):
     """A connection to an endpoint whose response never becomes complete."""
 
