Limit the number of headers of a request to 100

Cause: each header costs a call of on_header, and 32 KiB of head allow 4,681 of them: 2.19 ms of parsing, after which such a client begins again. Change: more than MAX_HEADERS, trailers included, get 400.

--- a/api_gateway/network/downstream/request_parser.py
+++ b/api_gateway/network/downstream/request_parser.py
@@ -24,6 +24,8 @@
 )
 
 MAX_HEADER_BYTES = 32 * 1024
+# Each header costs a call, so that a section of very short ones takes long to parse.
+MAX_HEADERS = 100
 MAX_REQUEST_BODY_BYTES = 64 * 1024
 # A chunked body is longer on the wire than its data, since each chunk is preceded by a line with its size.
 MAX_REQUEST_WIRE_BYTES = MAX_HEADER_BYTES + 2 * MAX_REQUEST_BODY_BYTES
@@ -88,6 +90,7 @@
         method: Request method; empty until the header section is complete.
         headers: Values of the headers in `KNOWN_HEADERS` by name in lower case; others are dropped.
         header_bytes: Total length of all header names and values.
+        header_count: Number of headers, trailers included.
         has_repeated_header: Whether a header in `KNOWN_HEADERS` occurred more than once.
         body: The body; empty until the request is complete.
         keep_alive: Whether the connection persists after the response (RFC 9112 section 9.3).
@@ -98,6 +101,7 @@
         "body",
         "has_repeated_header",
         "header_bytes",
+        "header_count",
         "headers",
         "keep_alive",
         "method",
@@ -112,6 +116,7 @@
         self.method = b""
         self.headers: dict[bytes, bytes] = {}
         self.header_bytes = 0
+        self.header_count = 0
         self.has_repeated_header = False
         self.body = b""
         self.keep_alive = True
@@ -297,11 +302,15 @@
         """Store a header if the gateway uses it.
 
         Raises:
-            BadRequestError: If the header section is longer than `MAX_HEADER_BYTES`.
+            BadRequestError: If there are more than `MAX_HEADERS`, or if they are longer than
+                `MAX_HEADER_BYTES` together.
         """
         request = self._partial_request
         name = name.lower()
+        request.header_count += 1
         request.header_bytes += len(name) + len(value)
+        if request.header_count > MAX_HEADERS:
+            raise BadRequestError(f"request has more than {MAX_HEADERS} headers")
         if request.header_bytes > MAX_HEADER_BYTES:
             raise BadRequestError(f"header section is longer than {MAX_HEADER_BYTES} bytes")
         if name in KNOWN_HEADERS:
