Limit the length of Quota-Info, whose values are cached

Cause: the cache holds 1,024 values, and a value with further fields is valid and up to 32 KiB long. Change: more than 256 bytes get 400.

--- a/api_gateway/network/downstream/request_validation.py
+++ b/api_gateway/network/downstream/request_validation.py
@@ -29,6 +29,7 @@
 _UNITS_PATTERN = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 _INTEGER_PATTERN = re.compile(r"[0-9]{1,6}")
 _QUOTA_INFO_CACHE_SIZE = 1024
+_MAX_QUOTA_INFO_BYTES = 256  # limits the memory of the cache
 
 
 class QuotaInfo(NamedTuple):
@@ -50,7 +51,7 @@
 
     Attributes:
         parse_quota_info: Converts the value of a Quota-Info header to a `QuotaInfo`. Results are cached,
-            since the same few values recur.
+            since the same few values recur; the values must be short.
     """
 
     def __init__(self, settings: Settings) -> None:
@@ -76,7 +77,7 @@
                 f"got {headers.get(REQUEST_CLASS_HEADER)!r} and {headers.get(PLAN_HEADER)!r}"
             )
         remaining_time_ms = _parse_remaining_time_ms(headers.get(DEADLINE_HEADER, b""))
-        quota_info = self.parse_quota_info(headers.get(QUOTA_INFO_HEADER, b""))
+        quota_info = self._quota_info(headers.get(QUOTA_INFO_HEADER, b""))
         return InboundRequest(
             x_request_id=headers.get(X_REQUEST_ID_HEADER, b""),
             class_name=request_class.name,
@@ -92,6 +93,18 @@
             body=request.body,
         )
 
+    def _quota_info(self, value: bytes) -> QuotaInfo:
+        """Check the length of a Quota-Info value, and parse it or take the result from the cache.
+
+        Raises:
+            BadRequestError: If the value is too long, malformed or out of range.
+        """
+        if len(value) > _MAX_QUOTA_INFO_BYTES:
+            raise BadRequestError(
+                f"Quota-Info: expected at most {_MAX_QUOTA_INFO_BYTES} bytes, got {len(value)}"
+            )
+        return self.parse_quota_info(value)
+
     def _parse_quota_info(self, value: bytes) -> QuotaInfo:
         """Parse a value such as `units=2,spread=3,first=1`.
 
--- a/tests/test_request_validation.py
+++ b/tests/test_request_validation.py
@@ -130,3 +130,14 @@
     request = ParsedRequest()
     request.headers = headers
     request.check_framing()
+
+
+def test_cache_of_quota_info_values_holds_short_values_only() -> None:
+    # Guards against a crash: valid values with a filler were cached, 1,024 of them took 32 MB.
+    validator = RequestValidator(settings(classes=(READ_CLASS,), plans=(BASIC_PLAN,), max_request_units=4))
+    with_filler = b"units=1,spread=1,first=0,filler=" + 1000 * b"x"
+    with pytest.raises(BadRequestError, match="Quota-Info: expected at most 256 bytes, got 1032"):
+        validator.validate(parsed_request(b"read", b"GET", quota_info=with_filler))
+    assert validator.parse_quota_info.cache_info().currsize == 0
+    validator.validate(parsed_request(b"read", b"GET", quota_info=b"units=1,spread=1,first=0,filler=x"))
+    assert validator.parse_quota_info.cache_info().currsize == 1
