Limit the number of tenants by limits.memory_mb

Cause: the tenant table holds 8,192 tenants of 2 KiB, 16 MB beside the 14 MB of the idle process, whatever the memory. Change: Gateway takes max_tenants, an eighth of the memory at 2 KiB each, 8,192 at most; the simulator's default stays 8,192. GatewayDriver passes it, where a test had replaced the constant.

--- a/api_gateway/configuration.py
+++ b/api_gateway/configuration.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, replace
 from pathlib import Path
 
+from api_gateway.decisions.tenants import DEFAULT_MAX_TENANTS
 from api_gateway.errors import ConfigurationError, SettingError
 from api_gateway.model.settings import Settings
 from api_gateway.network.address import Address, parse_address
@@ -35,6 +36,9 @@
 # free memory between them, and some are copied while they are forwarded.
 MESSAGE_MEMORY_FRACTION = 0.25
 MIN_MESSAGE_MEMORY_MB = 1.0
+# Fraction of the memory for the tenants, and the approximate memory of one.
+TENANT_MEMORY_FRACTION = 0.125
+TENANT_BYTES = 2 * 1024
 BYTES_PER_MB = 1024 * 1024
 
 DEFAULT_MAX_DESCRIPTORS = 1024
@@ -151,6 +155,16 @@
     return int(max(message_memory_mb, MIN_MESSAGE_MEMORY_MB) * BYTES_PER_MB)
 
 
+def max_tenants(max_memory_mb: float) -> int:
+    """Return the number of tenants whose state may be kept.
+
+    Args:
+        max_memory_mb: Memory that the process may use.
+    """
+    tenants = int(TENANT_MEMORY_FRACTION * max_memory_mb * BYTES_PER_MB / TENANT_BYTES)
+    return min(tenants, DEFAULT_MAX_TENANTS)
+
+
 def max_downstream_connections(max_descriptors: int) -> int:
     """Return how many connections from clients the process may hold.
 
--- a/api_gateway/decisions/gateway.py
+++ b/api_gateway/decisions/gateway.py
@@ -26,7 +26,7 @@
 from api_gateway.decisions.slow_start import SlowStart
 from api_gateway.decisions.subset import EndpointSubset
 from api_gateway.decisions.subset_sizing import OVERLOADED_ADMITTED_FRACTION, SubsetSizer
-from api_gateway.decisions.tenants import TenantTable
+from api_gateway.decisions.tenants import DEFAULT_MAX_TENANTS, TenantTable
 from api_gateway.decisions.traffic import TrafficRates
 from api_gateway.decisions.uptime import SWEEP_TIMER, SweepTimer, Uptime
 from api_gateway.decisions.usage_reporting import UsageReporter
@@ -59,12 +59,13 @@
     Args:
         settings: The gateway's settings.
         seed: Seed of all random draws.
+        max_tenants: Maximum number of tenants whose state is kept.
 
     Raises:
         ValueError: The settings are invalid.
     """
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: Settings, seed: int, max_tenants: int = DEFAULT_MAX_TENANTS) -> None:
         settings.check()
         self.settings = settings
         self.rng = Random(seed)
@@ -75,7 +76,7 @@
         self.log = RateLimitedLog(self._actions)
         self._build_admission()
         self._build_endpoints()
-        self._build_tenants()
+        self._build_tenants(max_tenants)
         self._build_load_sampler()
         self._build_request_flow()
         self._handlers = self._event_handlers()
@@ -115,7 +116,7 @@
             rng=self.rng,
         )
 
-    def _build_tenants(self) -> None:
+    def _build_tenants(self, max_tenants: int) -> None:
         """Create the components that enforce the tenants' quotas."""
         self.counter_health = CounterHealth(self.log, self.rng)
         self.usage_reporter = UsageReporter(self.settings, self.counter_health, self.rng, self._actions)
@@ -124,6 +125,7 @@
             uptime=self.uptime,
             conditions=QuotaConditions(self.admission, self.counter_health, self.rng),
             on_evict=self.usage_reporter.ignore_replies,
+            max_tenants=max_tenants,
         )
 
     def _build_load_sampler(self) -> None:
--- a/api_gateway/decisions/tenants.py
+++ b/api_gateway/decisions/tenants.py
@@ -14,7 +14,7 @@
 from api_gateway.model.events import RequestReceived
 from api_gateway.model.settings import Plan, Settings
 
-MAX_TENANTS = 8192  # Limits the memory that requests with many different tenant names can take.
+DEFAULT_MAX_TENANTS = 8192
 # A tenant may be evicted after this many windows without a request, or earlier if the table is full.
 EVICT_AFTER_WINDOWS = 3.0
 MAX_TENANTS_EXAMINED = 64  # Limits the time of one search for tenants to evict.
@@ -99,6 +99,7 @@
         uptime: Time since the gateway started.
         conditions: Conditions that the quota estimates depend on.
         on_evict: Called with each tenant that is evicted.
+        max_tenants: Maximum number of tenants, which limits their memory: any name may come.
     """
 
     def __init__(
@@ -107,8 +108,10 @@
         uptime: Uptime,
         conditions: QuotaConditions,
         on_evict: Callable[[Tenant], None],
+        max_tenants: int,
     ) -> None:
         self._fleet_size = settings.fleet_size
+        self._max_tenants = max_tenants
         self._uptime = uptime
         self._conditions = conditions
         self._on_evict = on_evict
@@ -152,7 +155,7 @@
         key = (request.tenant, plan.name)
         tenant = self._tenants.pop(key, None)
         if tenant is None:
-            if len(self._tenants) >= MAX_TENANTS and not self._evict_one(now_ms):
+            if len(self._tenants) >= self._max_tenants and not self._evict_one(now_ms):
                 return None
             tenant = self._create(key, plan, self.gateway_count(request), now_ms)
         self._tenants[key] = tenant
--- a/api_gateway/network/dispatcher.py
+++ b/api_gateway/network/dispatcher.py
@@ -11,7 +11,7 @@
 import time
 from collections import deque
 
-from api_gateway.configuration import Configuration, max_message_bytes
+from api_gateway.configuration import Configuration, max_message_bytes, max_tenants
 from api_gateway.decisions.gateway import Gateway
 from api_gateway.model.actions import (
     Action,
@@ -75,7 +75,9 @@
         self.is_terminated = False
         self._loop = loop
         self._clock = Clock()
-        self._gateway = Gateway(configuration.settings, configuration.seed)
+        self._gateway = Gateway(
+            configuration.settings, configuration.seed, max_tenants(configuration.max_memory_mb)
+        )
         self._lag = EventLoopLag(loop)
         self._request_handler = RequestHandler(
             configuration=configuration,
--- a/tests/support/dispatcher_driver.py
+++ b/tests/support/dispatcher_driver.py
@@ -33,7 +33,7 @@
         next_actions: Actions to return on the next event of a type, once; an exception is raised instead.
     """
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: Settings, seed: int, max_tenants: int) -> None:
         self.events: list[Event] = []
         self.next_actions: dict[type[Event], list[Action] | Exception] = {}
 
--- a/tests/support/gateway_driver.py
+++ b/tests/support/gateway_driver.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from api_gateway.decisions.gateway import Gateway
+from api_gateway.decisions.tenants import DEFAULT_MAX_TENANTS
 from api_gateway.model.actions import Action, IncrementCounter, StartAttempt
 from api_gateway.model.endpoints import Endpoint, UpdateKind
 from api_gateway.model.events import (
@@ -82,8 +83,15 @@
         action_log: All actions, with the times of their events.
     """
 
-    def __init__(self, endpoints: int = 4, seed: int = 1, now_ms: float = 1e6, **changes: object) -> None:
-        self.gateway = Gateway(settings(**changes), seed)
+    def __init__(
+        self,
+        endpoints: int = 4,
+        seed: int = 1,
+        now_ms: float = 1e6,
+        max_tenants: int = DEFAULT_MAX_TENANTS,
+        **changes: object,
+    ) -> None:
+        self.gateway = Gateway(settings(**changes), seed, max_tenants)
         self.now_ms = now_ms
         self.serial = 0
         self.counter_values: dict[str, float] = {}
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -10,6 +10,7 @@
 from api_gateway.configuration import (
     MIN_DESCRIPTORS,
     load_configuration,
+    max_tenants,
     max_upstream_connections,
     parse_configuration,
 )
@@ -58,6 +59,12 @@
         ({"discovery": "h:65536"}, "discovery: 'h:65536' is not HOST:PORT"),
         ({"seed": "xyz"}, "seed: 'xyz' is not a hex number"),
         ({"settings": []}, "settings: must be an object"),
+        (
+            {"limits": {"memory_mb": 0}},
+            "limits.memory_mb: must be a number above 0",
+        ),
+        ({"limits": {"memory_mb": "192"}}, "limits.memory_mb: must be a number above 0"),
+        ({"limits": [192]}, "limits: must be an object"),
         (
             {"limits": {"sockets": MIN_DESCRIPTORS - 1}},
             "limits.sockets: must be a whole number of 128 or more",
@@ -109,3 +116,9 @@
 def test_connections_to_endpoints_leave_the_reserved_descriptors_free() -> None:
     assert max_upstream_connections(MIN_DESCRIPTORS) == 34
     assert max_upstream_connections(1024) == 368
+
+
+@pytest.mark.parametrize(("memory_mb", "expected_tenants"), [(32, 2048), (64, 4096), (192, 8192)])
+def test_number_of_tenants_follows_from_the_memory(memory_mb: int, expected_tenants: int) -> None:
+    # Guards against a crash: 8,192 tenants take 16 MB, which exceeded the least memory.
+    assert max_tenants(memory_mb) == expected_tenants
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import pytest
 from support.gateway_driver import (
     BASIC_PLAN,
     GatewayDriver,
@@ -10,9 +9,6 @@
     send_requests,
 )
 
-from api_gateway.decisions import (
-    tenants,
-)
 from api_gateway.decisions.quota import window_length_ms
 from api_gateway.model.actions import IncrementCounter, StartAttempt
 from api_gateway.model.events import (
@@ -38,10 +34,9 @@
     )
 
 
-def test_the_number_of_tenants_is_limited_and_those_in_use_are_kept(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_the_number_of_tenants_is_limited_and_those_in_use_are_kept() -> None:
     """New tenant names must neither fill the memory nor evict a tenant whose ceiling share is not full."""
-    monkeypatch.setattr(tenants, "MAX_TENANTS", 50)
-    driver = GatewayDriver(counter_enabled=False)
+    driver = GatewayDriver(counter_enabled=False, max_tenants=50)
     for i in range(300):
         request_id, actions = driver.send_request(plan="basic", tenant=f"k{i}")
         assert actions_of_type(actions, StartAttempt)
