Read ahead while requests are queued, so that the end of a client is noticed

Cause: reading was paused while a request was queued. The end of a connection arrives behind its input, of which the kernel keeps a limited amount, so neither the event loop nor is_closed_by_peer saw it. Evidence: with 30 KB the end was seen, and an endpoint that responds hides the fault, since the closed client resets the connection at the first response. Change: RequestReader keeps input that arrives while requests are queued and parses it later. It counts as memory; beyond 1 MiB its requests get an error. Since more is read than before, a response in a shutdown closes its connection only if nothing behind its request has been read.

--- a/api_gateway/network/downstream/connection.py
+++ b/api_gateway/network/downstream/connection.py
@@ -9,9 +9,9 @@
     BadRequestError,
     ParsedRequest,
     RequestError,
-    RequestParser,
     RequestRejectedError,
 )
+from api_gateway.network.downstream.request_reader import RequestReader
 from api_gateway.network.downstream.response_writer import CONTINUE_RESPONSE, serialize_response
 from api_gateway.network.message_memory import UNCOUNTED_BYTES
 from api_gateway.network.socket_state import has_unread_data, is_closed_by_peer
@@ -41,8 +41,8 @@
 
     Requests are served one at a time, in the order of their arrival (pipelining, RFC 9112 section 9.3.2):
 
-    * Reading: input goes to the parser, which adds complete requests to a queue. Reading is paused while the
-      queue is not empty, and after each full read buffer until the next iteration of the event loop.
+    * Reading: input goes to the reader, which queues complete requests and reads ahead while requests are
+      queued. Reading is paused after each full read buffer until the next iteration of the event loop.
     * Awaiting a response: one request has been removed from the queue and is in flight until `respond` is
       called.
     * Discarding input: starts with the last response, or as soon as the input cannot be parsed. Further input
@@ -62,8 +62,8 @@
         self.receiving_since = 0.0
         self._listener = listener
         self._dispatcher = listener.dispatcher
-        self._parser = RequestParser(self._send_continue)
-        self._queue = self._parser.queue
+        self._reader = RequestReader(self._send_continue)
+        self._queue = self._reader.queue
         self._memory = listener.dispatcher.message_memory
         self._discarded_bytes = 0
         self._is_awaiting_response = False
@@ -95,17 +95,13 @@
             if self._discarded_bytes > MAX_DISCARDED_BYTES:
                 self.transport.abort()
             return
-        if self.has_responded and not (self._is_awaiting_response or self._parser.has_partial_request):
+        if self.has_responded and not (self._is_awaiting_response or self._reader.has_partial_request):
             self._listener.connection_receiving(self)  # starts the timeout for reading a request
         read_buffer = self._listener.read_buffer
         if nbytes == len(read_buffer):
             self._yield_to_others()
-        self._parser.feed(read_buffer[:nbytes])
-        if not self._update_memory():
-            self._parser.fail_newest_request(self._out_of_memory_error())
-            self._update_memory()
-        self._is_discarding_input = self._parser.is_finished
-        self._serve_queue()
+        self._reader.read(read_buffer[:nbytes])
+        self._serve_input()
 
     def pause_writing(self) -> None:
         """Serve no further request until the client has read most of the pending responses."""
@@ -123,13 +119,35 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Remove the connection, free its input, and report that a request in flight has lost its client."""
         self._listener.connection_closed(self)
-        self._is_discarding_input = True
-        self._parser.close()
+        self._discard_input()
         self._memory.remove(self)
         if self._request_id is not None:
             self._dispatcher.client_disconnected(self._request_id)
             self._request_id = None
 
+    # Input
+
+    def _serve_input(self) -> None:
+        """Serve the requests that new input has completed, unless it exceeds the memory."""
+        if not self._update_memory():
+            self._reader.fail_newest_request(self._out_of_memory_error())
+            self._update_memory()
+        self._is_discarding_input = self._reader.is_finished
+        self._serve_queue()
+
+    def _fail_partial_input(self, error: RequestError) -> None:
+        """Answer the partial request, or the input behind the queue, with an error; discard what follows."""
+        self._reader.fail(error)
+        self._is_discarding_input = True
+        self._update_memory()
+        self._serve_queue()
+
+    def _discard_input(self) -> None:
+        """Discard the requests that are queued or being read, and further input."""
+        self._is_discarding_input = True
+        self._discarded_bytes = 0
+        self._reader.close()
+
     # Requests
 
     def _send_continue(self) -> None:
@@ -137,12 +155,16 @@
             self.transport.write(CONTINUE_RESPONSE)
 
     def _yield_to_others(self) -> None:
-        """Read no more in this iteration of the event loop, so that other connections are served."""
-        self._is_yielding = True
-        self._listener.loop.call_soon(self._stop_yielding)
+        """Read and parse no more in this iteration of the event loop, so that others are served."""
+        if not self._is_yielding:
+            self._is_yielding = True
+            self._listener.loop.call_soon(self._stop_yielding)
 
     def _stop_yielding(self) -> None:
         self._is_yielding = False
+        if self._reader.has_read_ahead and not self.transport.is_closing():
+            self._reader.parse_read_ahead(len(self._listener.read_buffer))
+            self._serve_input()
         self._update_reading()
 
     def _serve_queue(self) -> None:
@@ -155,11 +177,13 @@
                 self._serve(self._queue.popleft())
         finally:
             self._is_serving_queue = False
+        if self._reader.has_read_ahead and not self._queue:
+            self._yield_to_others()  # and then parse
         self._update_reading()
 
     def _update_reading(self) -> None:
-        """Pause reading while requests are queued or the connection yields to others."""
-        must_pause = bool(self._queue) or self._is_yielding
+        """Pause reading while the connection yields to others."""
+        must_pause = self._is_yielding
         if must_pause == self._is_reading_paused or self.transport.is_closing():
             return
         self._is_reading_paused = must_pause
@@ -219,7 +243,8 @@
         self.has_responded = True
         if self.transport.is_closing():
             return
-        keep_alive = self._keep_alive and not self._dispatcher.is_draining
+        is_last = self._dispatcher.is_draining and not (self._queue or self._reader.has_read_ahead)
+        keep_alive = self._keep_alive and not is_last
         self.transport.write(serialize_response(status, body, content_type, retry_after_ms, keep_alive))
         # Must follow the write: a receiving connection may be evicted at once, unless it has unsent bytes.
         self._listener.connection_receiving(self)
@@ -236,8 +261,8 @@
     def abort_if_disconnected(self) -> bool:
         """Abort the connection if the client has closed it.
 
-        Polls the socket: reading is paused while requests are queued, and the event loop does not report the
-        end of a connection while reading is paused.
+        Polls the socket: the event loop reports the end of a connection in a later iteration, and not while
+        reading is paused.
 
         Returns:
             Whether the client has closed the connection.
@@ -256,10 +281,8 @@
         Args:
             status: Status code of the response.
         """
-        may_be_sending = self._parser.has_partial_request or self._parser.is_finished or 400 <= status < 500
-        self._is_discarding_input = True
-        self._parser.close()
-        self._discarded_bytes = 0
+        may_be_sending = self._reader.has_input or self._reader.is_finished or 400 <= status < 500
+        self._discard_input()
         if may_be_sending:
             self.transport.write_eof()
         else:
@@ -269,7 +292,7 @@
 
     def _update_memory(self) -> bool:
         """Record the memory of this connection's messages; return whether it is within the limit."""
-        held_bytes = self._parser.held_bytes + self._request_bytes
+        held_bytes = self._reader.held_bytes + self._request_bytes
         if self._is_writing_paused:
             held_bytes += self.transport.get_write_buffer_size()
         return self._memory.update(self, held_bytes)
@@ -281,8 +304,8 @@
 
     def reject_partial_request(self) -> None:
         """Reject the request that is being read and free its memory; do nothing if there is none."""
-        if self._parser.has_partial_request:
-            self._fail_partial_request(self._out_of_memory_error())
+        if self._reader.has_partial_request or self._reader.has_read_ahead:
+            self._fail_partial_input(self._out_of_memory_error())
 
     def abort_if_response_unread(self) -> None:
         """Abort the connection and free its memory if the client has left a response unread."""
@@ -290,12 +313,6 @@
             self._memory.remove(self)
             self.transport.abort()
 
-    def _fail_partial_request(self, error: RequestError) -> None:
-        self._parser.fail(error)
-        self._is_discarding_input = True
-        self._update_memory()
-        self._serve_queue()
-
     # Timeouts, eviction and shutdown
 
     def enforce_timeouts(self, now: float) -> None:
@@ -312,8 +329,8 @@
         elif self._is_discarding_input:
             if waited_s > DISCARD_TIMEOUT_S:
                 self.transport.abort()
-        elif self._parser.has_partial_request and waited_s > REQUEST_READ_TIMEOUT_S:
-            self._fail_partial_request(BadRequestError("request was not complete within its timeout", 408))
+        elif self._reader.has_partial_request and waited_s > REQUEST_READ_TIMEOUT_S:
+            self._fail_partial_input(BadRequestError("request was not complete within its timeout", 408))
         elif waited_s > self._idle_timeout_s() and self.is_idle():
             self.transport.close()
 
@@ -328,19 +345,23 @@
         return not (
             self._is_awaiting_response
             or self._is_discarding_input
-            or self._parser.has_partial_request
-            or self._queue
+            or self._reader.has_input
             or self.transport.is_closing()
             or has_unread_data(self.transport)
         )
 
     def is_evictable(self) -> bool:
-        """Return whether the connection can be aborted without losing unsent bytes or unread input.
+        """Return whether the connection can be aborted without losing unsent bytes or unserved requests.
 
         A partially read request does not prevent eviction. Must only be called while no response is awaited.
         """
         transport = self.transport
-        return not (transport.is_closing() or transport.get_write_buffer_size() or has_unread_data(transport))
+        return not (
+            transport.is_closing()
+            or transport.get_write_buffer_size()
+            or self._reader.has_read_ahead
+            or has_unread_data(transport)
+        )
 
     def close_if_idle(self, now: float) -> None:
         """Close the connection if it is idle, unless its first request may still be in transit.
--- a/api_gateway/network/downstream/request_parser.py
+++ b/api_gateway/network/downstream/request_parser.py
@@ -247,18 +247,6 @@
             self._body.clear()
             self.queue.append(error)
 
-    def fail_newest_request(self, error: RequestError) -> None:
-        """Queue an error in place of the partial request or, if there is none, of the newest complete one.
-
-        Does nothing if the parser is finished.
-
-        Args:
-            error: The error.
-        """
-        if not (self.is_finished or self.has_partial_request) and self.queue:
-            self.queue.pop()
-        self.fail(error)
-
     def close(self) -> None:
         """Free everything that the parser holds; further input of its connection is discarded.
 
--- a/tests/test_acceptance_client_disconnect.py
+++ b/tests/test_acceptance_client_disconnect.py
@@ -24,6 +24,9 @@
 FIRST_REQUEST = request_bytes(x_request_id=b"0000000000000001")
 SECOND_REQUEST = request_bytes(x_request_id=b"0000000000000002")
 
+MUCH_INPUT_BYTES = 800_000  # more than the kernel keeps for a connection that is not read
+MUCH_INPUT = MUCH_INPUT_BYTES // 4000 * request_bytes(extra_headers=f"Filler: {4000 * 'x'}\r\n")
+
 
 class Frontend:
     """A listener in front of a dispatcher, and the connections of its clients."""
@@ -149,6 +152,29 @@
     run_scenario(scenario, 5)
 
 
+def test_end_of_a_client_behind_much_unread_input_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against lost requests: input that was not read hid the end, and attempts started after it.
+    async def scenario() -> None:
+        endpoint = FakeServer(lambda request: None)
+        dispatcher, decisions = await start_dispatcher(monkeypatch, endpoint)
+        frontend = Frontend(dispatcher, decisions, endpoint)
+        decisions.next_actions[RequestReceived] = [StartAttempt("r1", ENDPOINT_NAME, 500)]
+        client = frontend.connect(FIRST_REQUEST)
+        await frontend.request_received()
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, MUCH_INPUT_BYTES)
+        client.setblocking(False)
+        await asyncio.get_running_loop().sock_sendall(client, MUCH_INPUT)
+        client.close()
+        decisions.next_actions[AttemptEnded] = [StartAttempt("r1", ENDPOINT_NAME, 500)]
+        while AttemptResult.TIMED_OUT not in decisions.attempt_results():
+            await asyncio.sleep(0.01)
+        assert decisions.attempt_results()[-1] == AttemptResult.NOT_STARTED
+        await frontend.assert_requests_at_endpoint(1)
+        endpoint.stop()
+
+    run_scenario(scenario, 5)
+
+
 @pytest.mark.parametrize("connected", [False, True])
 def test_pending_connect_is_withdrawn_when_its_client_closes(
     monkeypatch: pytest.MonkeyPatch, connected: bool
--- a/tests/test_downstream.py
+++ b/tests/test_downstream.py
@@ -28,6 +28,8 @@
     Attributes:
         x_request_ids: X-Request-Id of each request, in the order of arrival.
         response_body: Body of each response.
+        is_holding: Whether requests stay in flight without a response.
+        held_client: The client of the last request that was held.
     """
 
     def __init__(self, message_bytes: int) -> None:
@@ -38,13 +40,18 @@
         self.is_terminated = False
         self.x_request_ids: list[bytes] = []
         self.response_body = b"served"
+        self.is_holding = False
+        self.held_client: DownstreamConnection | None = None
 
     def is_ready(self) -> bool:
         return True
 
     def submit(self, client: DownstreamConnection, inbound_request: InboundRequest) -> str:
         self.x_request_ids.append(inbound_request.x_request_id)
-        client.respond(200, self.response_body)
+        if self.is_holding:
+            self.held_client = client
+        else:
+            client.respond(200, self.response_body)
         return inbound_request.x_request_id.decode()
 
     def client_disconnected(self, request_id: str) -> None:
@@ -54,7 +61,7 @@
 class RunningListener:
     """A listener in this process, and clients that connect and send without running the event loop."""
 
-    def __init__(self, max_descriptors: int = 1024, message_bytes: int = 1024 * 1024) -> None:
+    def __init__(self, max_descriptors: int = 1024, message_bytes: int = 2 * 1024 * 1024) -> None:
         self.dispatcher = FakeDispatcher(message_bytes)
         self.listener = Listener(self.dispatcher, asyncio.get_running_loop(), max_descriptors)
         self.address = self.listener.start((LOOPBACK, 0))
@@ -246,7 +253,7 @@
         client.send(chunked_request(b"ab" * 20_000, 2)[:-5])
     other.sendall(request_bytes(x_request_id=b"other"))
     assert await running.is_served(other)
-    parsers = [connection._parser for connection in running.listener.connections]
+    parsers = [connection._reader._parser for connection in running.listener.connections]
     assert (
         0 < max(parser.partial_request_bytes for parser in parsers) <= 4 * READ_BUFFER_BYTES
     )  # the client reads its response in a later iteration
--- /dev/null
+++ b/tests/test_request_reader.py
@@ -0,0 +1,135 @@
+"""Input that is read ahead while earlier requests of its connection are served."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+from support.http_fakes import request_bytes
+from support.program import async_test
+from test_downstream import RunningListener
+
+from api_gateway.network.downstream.request_parser import ParsedRequest, RequestError
+from api_gateway.network.downstream.request_reader import MAX_READ_AHEAD_BYTES, RequestReader
+
+REQUEST_COUNT = 12
+PIECE_BYTES = 5000
+
+
+def pipelined_requests(count: int, body_bytes: int = 3000) -> bytes:
+    """Return requests with the ids id-0, id-1..."""
+    return b"".join(
+        request_bytes("put", body=bytes(body_bytes), x_request_id=b"id-%d" % number)
+        for number in range(count)
+    )
+
+
+def reader_with_queued_request() -> RequestReader:
+    """Return a reader that has read one request, which is not served."""
+    reader = RequestReader(lambda: None)
+    reader.read(memoryview(request_bytes()))
+    return reader
+
+
+@pytest.mark.parametrize("piece_bytes", [700, PIECE_BYTES, 100_000])
+def test_requests_are_parsed_in_order_as_the_queue_is_served(piece_bytes: int) -> None:
+    reader = RequestReader(lambda: None)
+    data = pipelined_requests(REQUEST_COUNT)
+    for start in range(0, len(data), piece_bytes):
+        reader.read(memoryview(data)[start : start + piece_bytes])
+    ids = []
+    while reader.has_input:
+        reader.parse_read_ahead(PIECE_BYTES)
+        while reader.queue:
+            ids.append(reader.queue.popleft().headers[b"x-request-id"])
+    assert ids == [b"id-%d" % number for number in range(REQUEST_COUNT)]
+    assert not reader.held_bytes
+
+
+def test_nothing_is_parsed_while_a_request_is_queued() -> None:
+    reader = reader_with_queued_request()
+    reader.read(memoryview(pipelined_requests(1)))
+    reader.parse_read_ahead(PIECE_BYTES)
+    assert len(reader.queue) == 1 and reader.has_read_ahead
+    assert reader.held_bytes > len(pipelined_requests(1))
+
+
+def test_input_that_is_read_ahead_is_limited() -> None:
+    reader = reader_with_queued_request()
+    reader.read(memoryview(bytes(MAX_READ_AHEAD_BYTES)))
+    assert not reader.is_finished
+    reader.read(memoryview(b"x"))
+    first, error = reader.queue
+    assert isinstance(first, ParsedRequest) and isinstance(error, RequestError) and error.status == 400
+    assert reader.is_finished and not reader.has_read_ahead
+
+
+def test_input_behind_an_error_is_dropped() -> None:
+    reader = reader_with_queued_request()
+    reader.read(memoryview(b"no HTTP\r\n" + pipelined_requests(REQUEST_COUNT)))
+    reader.queue.clear()
+    reader.parse_read_ahead(PIECE_BYTES)
+    (error,) = reader.queue
+    assert isinstance(error, RequestError) and reader.is_finished and not reader.has_read_ahead
+
+
+async def send(client: socket.socket, data: bytes) -> None:
+    """Send data without blocking the event loop."""
+    await asyncio.get_running_loop().sock_sendall(client, data)
+
+
+async def read_responses(client: socket.socket, count: int) -> list[bytes]:
+    """Read responses with an empty or short body until there are as many, and return them."""
+    received = b""
+    while received.count(b"HTTP/1.1 ") < count or not received.endswith((b"served", b"\r\n\r\n")):
+        received += await asyncio.get_running_loop().sock_recv(client, 65536)
+    return received.split(b"HTTP/1.1 ")[1:]
+
+
+@async_test(limit_s=5)
+async def test_requests_that_are_read_ahead_are_served_during_shutdown() -> None:
+    # Guards against lost requests: the first response in a shutdown ended a connection and its input.
+    running = RunningListener()
+    running.dispatcher.is_holding = True
+    client = running.connect()
+    await send(client, pipelined_requests(REQUEST_COUNT))
+    await running.wait_for_requests(1)
+    running.dispatcher.is_draining = True
+    running.dispatcher.is_holding = False
+    running.dispatcher.held_client.respond(200, b"served")
+    responses = await read_responses(client, REQUEST_COUNT)
+    assert [response[:3] for response in responses] == REQUEST_COUNT * [b"200"]
+    assert [b"Connection: close" in response for response in responses] == [False] * 11 + [True]
+    assert await running.is_closed(client)
+
+
+@async_test(limit_s=5)
+async def test_input_that_is_read_ahead_is_limited_by_the_memory() -> None:
+    running = RunningListener(message_bytes=100_000)
+    running.dispatcher.is_holding = True
+    client = running.connect()
+    await send(client, pipelined_requests(2 * REQUEST_COUNT, body_bytes=20_000))
+    await running.wait_for_requests(1)
+    assert running.dispatcher.message_memory.held_bytes <= 100_000
+    running.dispatcher.is_holding = False
+    running.dispatcher.held_client.respond(200, b"served")
+    *served, rejected = await read_responses(client, 2)
+    assert rejected.startswith(b"503") and all(response.startswith(b"200") for response in served)
+    assert await running.is_closed(client)
+
+
+@async_test(limit_s=5)
+async def test_client_that_sends_too_much_ahead_gets_an_error_after_its_responses() -> None:
+    running = RunningListener()
+    running.dispatcher.is_holding = True
+    client = running.connect()
+    too_much = pipelined_requests(MAX_READ_AHEAD_BYTES // 60_000 + 4, body_bytes=60_000)
+    await send(client, too_much)
+    await running.wait_for_requests(1)
+    while not next(iter(running.listener.connections))._reader.is_finished:
+        await asyncio.sleep(0.001)
+    running.dispatcher.is_holding = False
+    running.dispatcher.held_client.respond(200, b"served")
+    *served, error = await read_responses(client, 3)
+    assert error.startswith(b"400") and all(response.startswith(b"200") for response in served)
