Do not run a request again under an X-Request-Id that may have run

Cause: only the ids of open requests were known. A disconnect cancels the attempt and closes the request, though the endpoint may run it; a served request frees its id, too, which another client may use.

--- a/api_gateway/network/open_requests.py
+++ b/api_gateway/network/open_requests.py
@@ -87,6 +87,8 @@
         deadline_timer: Timer that fires at `deadline`.
         attempts: Its attempts, indexed by attempt number; None for an attempt that was not started.
         attempts_in_flight: Number of attempts that have not ended.
+        may_have_run: Whether an attempt that has ended may have run.
+        is_served: Whether the client was sent the response of an endpoint.
     """
 
     request_id: str
@@ -96,6 +98,8 @@
     deadline_timer: asyncio.TimerHandle | None = None
     attempts: list[Attempt | None] = field(default_factory=list)
     attempts_in_flight: int = 0
+    may_have_run: bool = False
+    is_served: bool = False
 
 
 class OpenRequests:
@@ -138,9 +142,15 @@
         self._by_id[request.request_id] = request
         return request
 
-    def remove_if_finished(self, request: OpenRequest) -> None:
-        """Remove a request if no client waits for its response and no attempt is in flight."""
+    def remove_if_finished(self, request: OpenRequest) -> bool:
+        """Remove a request if no client waits for its response and no attempt is in flight.
+
+        Returns:
+            Whether it was removed.
+        """
         if request.client is not None or request.attempts_in_flight:
-            return
-        if self._by_id.pop(request.request_id, None) is not None:
-            self._x_request_ids.discard(request.inbound.x_request_id)
+            return False
+        if self._by_id.pop(request.request_id, None) is None:
+            return False
+        self._x_request_ids.discard(request.inbound.x_request_id)
+        return True
--- a/api_gateway/network/request_handler.py
+++ b/api_gateway/network/request_handler.py
@@ -11,7 +11,9 @@
 from api_gateway.model.actions import CancelAttempt, StartAttempt
 from api_gateway.model.events import AttemptEnded, ClientDisconnected, Event, RequestReceived
 from api_gateway.model.results import AttemptResult
+from api_gateway.model.settings import Idempotency
 from api_gateway.network.clock import EventLoopLag
+from api_gateway.network.executed_requests import ExecutedRequests
 from api_gateway.network.header_names import BILLED_UNITS_HEADER, CONTENT_TYPE_HEADER
 from api_gateway.network.message_memory import MessageMemory
 from api_gateway.network.open_requests import Client, InboundRequest, OpenRequest, OpenRequests
@@ -69,6 +71,10 @@
             close_if_client_disconnected=self._close_if_client_of_attempt_disconnected,
         )
         self._settings = configuration.settings
+        self._idempotency_by_class = {
+            request_class.name: request_class.idempotency for request_class in configuration.settings.classes
+        }
+        self._executed_requests = ExecutedRequests()
         self._loop = loop
         self._lag = lag
         self._post_event = post_event
@@ -85,13 +91,13 @@
 
         Returns:
             The request id for `client_disconnected`, or None if a request with the same X-Request-Id is open,
-            since endpoints identify a request by that header alone.
+            or may have run and must not run again: endpoints identify a request by that header alone.
         """
-        if self.requests.has_x_request_id(inbound.x_request_id):
+        now = time.monotonic()
+        if self._is_duplicate(inbound, now):
             return None
         # The deadline counts from when the client sent the request. So the time for which the request may
         # have been unread (lag) and the time since it was read are subtracted.
-        now = time.monotonic()
         queued_ms = (now - inbound.received_at_s) * 1000
         remaining_time_ms = (
             inbound.remaining_time_ms - CLIENT_ROUND_TRIP_MS - self._lag.lag_ms(now) - queued_ms
@@ -114,6 +120,13 @@
         )
         return request.request_id
 
+    def _is_duplicate(self, inbound: InboundRequest, now: float) -> bool:
+        """Return whether a request must not be sent, since one with its X-Request-Id is open or has run."""
+        x_request_id = inbound.x_request_id
+        return self.requests.has_x_request_id(x_request_id) or self._executed_requests.contains(
+            x_request_id, now
+        )
+
     def client_disconnected(self, request_id: str) -> None:
         """Close a request whose client has disconnected, and withdraw its attempts with unsent bytes."""
         request = self.requests.get(request_id)
@@ -146,6 +159,7 @@
         """Forward an endpoint's response, unless the request already has a response."""
         if request.client is None:
             return
+        request.is_served = True
         client = self._close_request(request)
         client.respond(200, response.body, response.headers.get(CONTENT_TYPE_HEADER, b""))
         self._withdraw_unsent_attempts(request)
@@ -189,9 +203,26 @@
         client, request.client = request.client, None
         request.inbound.discard_content()
         request.deadline_timer.cancel()
-        self.requests.remove_if_finished(request)
+        self._remove_if_finished(request)
         return client
 
+    def _remove_if_finished(self, request: OpenRequest) -> None:
+        """Remove a request that nobody waits for any more; remember it if it must not run again."""
+        if self.requests.remove_if_finished(request) and self._must_not_run_again(request):
+            self._executed_requests.add(request.inbound.x_request_id, time.monotonic())
+
+    def _must_not_run_again(self, request: OpenRequest) -> bool:
+        """Return whether a closed request may have run and its class does not allow that it runs again.
+
+        Endpoints recognize the idempotency key of a request that they have served.
+        """
+        if not request.may_have_run:
+            return False
+        idempotency = self._idempotency_by_class[request.inbound.class_name]
+        return idempotency is Idempotency.NOT_IDEMPOTENT or (
+            idempotency is Idempotency.WITH_KEY and not request.is_served
+        )
+
     def _withdraw_unsent_attempts(self, request: OpenRequest) -> None:
         """Withdraw attempts with unsent bytes, which their endpoints would run after the response."""
         if request.attempts_in_flight:
@@ -258,6 +289,8 @@
     def _on_attempt_ended(self, attempt: Attempt, result: AttemptResult, response: Response | None) -> None:
         request = self.requests.get(attempt.request_id)
         request.attempts_in_flight -= 1
+        if attempt.is_sent and not result.never_ran:
+            request.may_have_run = True
         now = time.monotonic()
         duration_ms = (now - attempt.started_at) * 1000
         if response is not None:
@@ -268,7 +301,7 @@
             units = response.positive_header_value(BILLED_UNITS_HEADER, self._settings.max_request_units)
             self._forward_response(request, response)
         is_final = request.client is None
-        self.requests.remove_if_finished(request)
+        self._remove_if_finished(request)
         self._post_event(
             AttemptEnded(
                 request_id=attempt.request_id,
--- a/api_gateway/network/upstream/attempt.py
+++ b/api_gateway/network/upstream/attempt.py
@@ -34,6 +34,7 @@
         connect_timer: Timer of the pending connect.
         write_timer: Timer that fires at `write_deadline`; None if there is no such deadline, or if all bytes
             were sent at once on an idle connection.
+        is_sent: Whether it was written to a connection, at least in part.
         is_done: Whether its result has been reported.
     """
 
@@ -50,6 +51,7 @@
     response_timer: asyncio.TimerHandle | None = None
     connect_timer: asyncio.TimerHandle | None = None
     write_timer: asyncio.TimerHandle | None = None
+    is_sent: bool = False
     is_done: bool = False
 
     def request_bytes(self, now: float) -> bytes:
--- a/api_gateway/network/upstream/connection.py
+++ b/api_gateway/network/upstream/connection.py
@@ -42,6 +42,7 @@
         self.attempt = attempt
         attempt.connection = self
         self.is_reused = self.idle_since > 0
+        attempt.is_sent = True
         self.write(attempt.request_bytes(time.monotonic()))
         attempt.discard_content()
 
