Let the tests of read-ahead wait until all input has been read

The tests released the first request when it had been received, at which time the input behind it may lie in the socket; what is unread then is cut off by the shutdown, or not yet beyond the memory. The product behaves as intended in both orders. Change: the tests wait for all input, or for the limit, and read to the end of the connection. They now also compare the number of responses with the requests that were served.

--- a/tests/test_request_reader.py
+++ b/tests/test_request_reader.py
@@ -12,6 +12,7 @@
 
 from api_gateway.network.downstream.request_parser import ParsedRequest, RequestError
 from api_gateway.network.downstream.request_reader import MAX_READ_AHEAD_BYTES, RequestReader
+from api_gateway.network.socket_state import has_unread_data
 
 REQUEST_COUNT = 12
 PIECE_BYTES = 5000
@@ -79,57 +80,60 @@
     await asyncio.get_running_loop().sock_sendall(client, data)
 
 
-async def read_responses(client: socket.socket, count: int) -> list[bytes]:
-    """Read responses with an empty or short body until there are as many, and return them."""
+async def read_responses(client: socket.socket) -> list[bytes]:
+    """Read until the end of the connection, and return the responses."""
     received = b""
-    while received.count(b"HTTP/1.1 ") < count or not received.endswith((b"served", b"\r\n\r\n")):
-        received += await asyncio.get_running_loop().sock_recv(client, 65536)
+    while data := await asyncio.get_running_loop().sock_recv(client, 65536):
+        received += data
     return received.split(b"HTTP/1.1 ")[1:]
 
 
+async def hold_first_request(running: RunningListener, client: socket.socket, data: bytes) -> RequestReader:
+    """Send requests, and wait until all are read, or as much as is allowed; the first one stays in flight."""
+    running.dispatcher.is_holding = True
+    await send(client, data)
+    await running.wait_for_requests(1)
+    (connection,) = running.listener.connections
+    while has_unread_data(connection.transport) and not connection._reader.is_finished:
+        await asyncio.sleep(0.001)
+    running.dispatcher.is_holding = False
+    return connection._reader
+
+
 @async_test(limit_s=5)
 async def test_requests_that_are_read_ahead_are_served_during_shutdown() -> None:
     # Guards against lost requests: the first response in a shutdown ended a connection and its input.
     running = RunningListener()
-    running.dispatcher.is_holding = True
     client = running.connect()
-    await send(client, pipelined_requests(REQUEST_COUNT))
-    await running.wait_for_requests(1)
+    await hold_first_request(running, client, pipelined_requests(REQUEST_COUNT))
     running.dispatcher.is_draining = True
-    running.dispatcher.is_holding = False
     running.dispatcher.held_client.respond(200, b"served")
-    responses = await read_responses(client, REQUEST_COUNT)
+    responses = await read_responses(client)
     assert [response[:3] for response in responses] == REQUEST_COUNT * [b"200"]
     assert [b"Connection: close" in response for response in responses] == [False] * 11 + [True]
-    assert await running.is_closed(client)
 
 
 @async_test(limit_s=5)
 async def test_input_that_is_read_ahead_is_limited_by_the_memory() -> None:
     running = RunningListener(message_bytes=100_000)
-    running.dispatcher.is_holding = True
     client = running.connect()
-    await send(client, pipelined_requests(2 * REQUEST_COUNT, body_bytes=20_000))
-    await running.wait_for_requests(1)
-    assert running.dispatcher.message_memory.held_bytes <= 100_000
-    running.dispatcher.is_holding = False
+    too_much = pipelined_requests(2 * REQUEST_COUNT, body_bytes=20_000)
+    reader = await hold_first_request(running, client, too_much)
+    assert reader.is_finished and running.dispatcher.message_memory.held_bytes <= 100_000
     running.dispatcher.held_client.respond(200, b"served")
-    *served, rejected = await read_responses(client, 2)
+    *served, rejected = await read_responses(client)
     assert rejected.startswith(b"503") and all(response.startswith(b"200") for response in served)
-    assert await running.is_closed(client)
+    assert len(served) == len(running.dispatcher.x_request_ids)
 
 
 @async_test(limit_s=5)
 async def test_client_that_sends_too_much_ahead_gets_an_error_after_its_responses() -> None:
     running = RunningListener()
-    running.dispatcher.is_holding = True
     client = running.connect()
     too_much = pipelined_requests(MAX_READ_AHEAD_BYTES // 60_000 + 4, body_bytes=60_000)
-    await send(client, too_much)
-    await running.wait_for_requests(1)
-    while not next(iter(running.listener.connections))._reader.is_finished:
-        await asyncio.sleep(0.001)
-    running.dispatcher.is_holding = False
+    reader = await hold_first_request(running, client, too_much)
+    assert reader.is_finished
     running.dispatcher.held_client.respond(200, b"served")
-    *served, error = await read_responses(client, 3)
+    *served, error = await read_responses(client)
     assert error.startswith(b"400") and all(response.startswith(b"200") for response in served)
+    assert len(served) == len(running.dispatcher.x_request_ids)
