Remove an endpoint whose address a later process has taken

Cause: endpoints are known by name; another name at a known address was not compared with the one that had it, so the old one stayed usable with its connections until discovery reported its end. Change: EndpointAddresses records the endpoint of each address. A later start takes the address, and the earlier endpoint counts as removed until it is listed elsewhere or with a later start. Addresses that endpoints with equal starts share identify no process and are left alone.

--- a/api_gateway/network/dispatcher.py
+++ b/api_gateway/network/dispatcher.py
@@ -32,6 +32,7 @@
 from api_gateway.network.discovery import DiscoveryWatch
 from api_gateway.network.discovery_codec import EndpointList
 from api_gateway.network.discovery_policy import PollPolicy
+from api_gateway.network.endpoint_addresses import EndpointAddresses
 from api_gateway.network.message_memory import MessageMemory
 from api_gateway.network.open_requests import Client, InboundRequest
 from api_gateway.network.request_handler import RequestHandler
@@ -91,6 +92,7 @@
         self._cached_endpoint_list = configuration.cached_endpoints
         self._discovery = self._create_discovery_watch(configuration)
         self._counter = self._create_counter_client(configuration)
+        self._endpoint_addresses = EndpointAddresses()
         self._events: deque[Event] = deque()
         self._is_handling_event = False
         self._started_at = 0.0
@@ -193,9 +195,11 @@
         self._apply_endpoint_list(endpoint_list, kind)
 
     def _apply_endpoint_list(self, endpoint_list: EndpointList, kind: UpdateKind) -> None:
+        is_full = kind is not UpdateKind.CHANGES
+        endpoint_list = self._endpoint_addresses.remove_superseded(endpoint_list, is_full=is_full)
         endpoints = endpoint_list.endpoints
         removed = {e.name for e in endpoints if e.status is EndpointStatus.REMOVED}
-        if kind is not UpdateKind.CHANGES:  # a full list replaces the previous one
+        if is_full:  # it replaces the previous one
             removed |= self._pool.endpoint_names() - {e.name for e in endpoints}
         self._pool.update_endpoints(
             addresses=endpoint_list.addresses,
@@ -204,7 +208,7 @@
             started_at_ms={e.name: e.started_at_ms for e in endpoints},
         )
         # An empty list of changes, which ends a long poll, is not passed to the decisions.
-        if endpoints or kind is not UpdateKind.CHANGES:
+        if endpoints or is_full:
             self._post_event(EndpointUpdate(kind, endpoints))
         self._pool.withdraw_pending_connects()  # after the decisions have received the list
 
