--- a/api_gateway/network/downstream/connection.py
+++ b/api_gateway/network/downstream/connection.py
@@ -14,7 +14,7 @@
 from api_gateway.network.downstream.request_reader import RequestReader
 from api_gateway.network.downstream.response_writer import CONTINUE_RESPONSE, serialize_response
 from api_gateway.network.message_memory import UNCOUNTED_BYTES
-from api_gateway.network.socket_state import has_unread_data, is_closed_by_peer
+from api_gateway.network.socket_state import SocketPoll, peer_close_poll, unread_data_poll
 
 if TYPE_CHECKING:
     from api_gateway.network.downstream.listener import Listener
@@ -65,10 +65,13 @@
         self._reader = RequestReader(self._send_continue)
         self._queue = self._reader.queue
         self._memory = listener.dispatcher.message_memory
+        self._peer_close_poll: SocketPoll | None = None  # created for the first attempt
         self._discarded_bytes = 0
         self._is_awaiting_response = False
         self._request_id: str | None = None  # the dispatcher's id of the request in flight
         self._request_bytes = 0  # approximate memory of the request in flight
+        self._input_bytes = 0  # input since the last response
+        self._is_memory_counted = False  # whether the messages are large enough to be counted
         self._keep_alive = True  # whether the client allows further requests after the one in flight
         self._is_discarding_input = False
         self._is_serving_queue = False
@@ -100,8 +103,12 @@
         read_buffer = self._listener.read_buffer
         if nbytes == len(read_buffer):
             self._yield_to_others()
+        self._input_bytes += nbytes
         self._reader.read(read_buffer[:nbytes])
-        self._serve_input()
+        if self._is_memory_counted or self._input_bytes > UNCOUNTED_BYTES or len(self._queue) > 1:
+            self._limit_input()
+        self._is_discarding_input = self._reader.is_finished
+        self._serve_queue()
 
     def pause_writing(self) -> None:
         """Serve no further request until the client has read most of the pending responses."""
@@ -127,13 +134,11 @@
 
     # Input
 
-    def _serve_input(self) -> None:
-        """Serve the requests that new input has completed, unless it exceeds the memory."""
+    def _limit_input(self) -> None:
+        """Reject the newest request if the memory does not suffice for it."""
         if not self._update_memory():
             self._reader.fail_newest_request(self._out_of_memory_error())
             self._update_memory()
-        self._is_discarding_input = self._reader.is_finished
-        self._serve_queue()
 
     def _fail_partial_input(self, error: RequestError) -> None:
         """Answer the partial request, or the input behind the queue, with an error; discard what follows."""
@@ -162,9 +167,11 @@
 
     def _stop_yielding(self) -> None:
         self._is_yielding = False
-        if self._reader.has_read_ahead and not self.transport.is_closing():
+        if self._reader.read_ahead and not self.transport.is_closing():
             self._reader.parse_read_ahead(len(self._listener.read_buffer))
-            self._serve_input()
+            self._limit_input()
+            self._is_discarding_input = self._reader.is_finished
+            self._serve_queue()
         self._update_reading()
 
     def _serve_queue(self) -> None:
@@ -177,7 +184,7 @@
                 self._serve(self._queue.popleft())
         finally:
             self._is_serving_queue = False
-        if self._reader.has_read_ahead and not self._queue:
+        if self._reader.read_ahead and not self._queue:
             self._yield_to_others()  # and then parse
         self._update_reading()
 
@@ -199,7 +206,7 @@
             self._respond_to_error(request)
             return
         self._keep_alive = request.keep_alive
-        self._request_bytes = request.size_bytes
+        self._request_bytes = request.size_bytes if self._is_memory_counted else 0
         try:
             self._route(request)
         except BadRequestError as error:
@@ -238,19 +245,19 @@
             retry_after_ms: Time for Retry-After, in milliseconds; 0 to omit the header.
         """
         self._request_id = None
-        self._request_bytes = 0
+        self._request_bytes = self._input_bytes = 0
         self._is_awaiting_response = False
         self.has_responded = True
         if self.transport.is_closing():
             return
-        is_last = self._dispatcher.is_draining and not (self._queue or self._reader.has_read_ahead)
+        is_last = self._dispatcher.is_draining and not (self._queue or self._reader.read_ahead)
         keep_alive = self._keep_alive and not is_last
         self.transport.write(serialize_response(status, body, content_type, retry_after_ms, keep_alive))
         # Must follow the write: a receiving connection may be evicted at once, unless it has unsent bytes.
         self._listener.connection_receiving(self)
         if not keep_alive:
             self._close_after_response(status)
-        if not self._update_memory():
+        if (self._is_memory_counted or self._is_writing_paused) and not self._update_memory():
             self.transport.abort()
         self._serve_queue()
 
@@ -267,9 +274,13 @@
         Returns:
             Whether the client has closed the connection.
         """
-        if not is_closed_by_peer(self.transport):
-            return False
-        self.transport.abort()
+        transport = self.transport
+        if not transport.is_closing():
+            if self._peer_close_poll is None:
+                self._peer_close_poll = peer_close_poll(transport)
+            if not self._peer_close_poll.is_pending():
+                return False
+        transport.abort()
         return True
 
     def _close_after_response(self, status: int) -> None:
@@ -295,6 +306,7 @@
         held_bytes = self._reader.held_bytes + self._request_bytes
         if self._is_writing_paused:
             held_bytes += self.transport.get_write_buffer_size()
+        self._is_memory_counted = held_bytes > UNCOUNTED_BYTES
         return self._memory.update(self, held_bytes)
 
     def _out_of_memory_error(self) -> RequestRejectedError:
@@ -304,7 +316,7 @@
 
     def reject_partial_request(self) -> None:
         """Reject the request that is being read and free its memory; do nothing if there is none."""
-        if self._reader.has_partial_request or self._reader.has_read_ahead:
+        if self._reader.has_partial_request or self._reader.read_ahead:
             self._fail_partial_input(self._out_of_memory_error())
 
     def abort_if_response_unread(self) -> None:
@@ -347,7 +359,7 @@
             or self._is_discarding_input
             or self._reader.has_input
             or self.transport.is_closing()
-            or has_unread_data(self.transport)
+            or unread_data_poll(self.transport).is_pending()
         )
 
     def is_evictable(self) -> bool:
@@ -359,8 +371,8 @@
         return not (
             transport.is_closing()
             or transport.get_write_buffer_size()
-            or self._reader.has_read_ahead
-            or has_unread_data(transport)
+            or self._reader.read_ahead
+            or unread_data_poll(transport).is_pending()
         )
 
     def close_if_idle(self, now: float) -> None:
--- a/api_gateway/network/downstream/request_parser.py
+++ b/api_gateway/network/downstream/request_parser.py
@@ -24,8 +24,9 @@
 )
 
 MAX_HEADER_BYTES = 32 * 1024
-# Each header costs a call, so that a section of very short ones takes long to parse.
-MAX_HEADERS = 100
+# Limit on the headers that are not used, or repeated. Each costs a call, so that very many short ones take
+# long to parse.
+MAX_OTHER_HEADERS = 100
 MAX_REQUEST_BODY_BYTES = 64 * 1024
 # A chunked body is longer on the wire than its data, since each chunk is preceded by a line with its size.
 MAX_REQUEST_WIRE_BYTES = MAX_HEADER_BYTES + 2 * MAX_REQUEST_BODY_BYTES
@@ -90,7 +91,7 @@
         method: Request method; empty until the header section is complete.
         headers: Values of the headers in `KNOWN_HEADERS` by name in lower case; others are dropped.
         header_bytes: Total length of all header names and values.
-        header_count: Number of headers, trailers included.
+        other_header_count: Number of headers that are not used, or repeated; trailers included.
         has_repeated_header: Whether a header in `KNOWN_HEADERS` occurred more than once.
         body: The body; empty until the request is complete.
         keep_alive: Whether the connection persists after the response (RFC 9112 section 9.3).
@@ -101,10 +102,10 @@
         "body",
         "has_repeated_header",
         "header_bytes",
-        "header_count",
         "headers",
         "keep_alive",
         "method",
+        "other_header_count",
         "path",
         "received_at_s",
         "target",
@@ -116,7 +117,7 @@
         self.method = b""
         self.headers: dict[bytes, bytes] = {}
         self.header_bytes = 0
-        self.header_count = 0
+        self.other_header_count = 0
         self.has_repeated_header = False
         self.body = b""
         self.keep_alive = True
@@ -220,8 +221,9 @@
         self.partial_request_bytes += len(data)
         try:
             self._http_parser.feed_data(data)
-            self._check_body_length()
-            self._check_wire_length()
+            if self.partial_request_bytes:
+                self._check_body_length()
+                self._check_wire_length()
         except httptools.HttpParserUpgrade:
             # Upgrades are not supported: the Upgrade header is ignored and the request served over HTTP/1.1
             # (RFC 9110 section 7.8). The parser stops here, so this is the last request of the connection.
@@ -290,22 +292,22 @@
         """Store a header if the gateway uses it.
 
         Raises:
-            BadRequestError: If there are more than `MAX_HEADERS`, or if they are longer than
-                `MAX_HEADER_BYTES` together.
+            BadRequestError: If the headers are longer than `MAX_HEADER_BYTES`, or more than
+                `MAX_OTHER_HEADERS` of them are not used or repeated.
         """
         request = self._partial_request
         name = name.lower()
-        request.header_count += 1
         request.header_bytes += len(name) + len(value)
-        if request.header_count > MAX_HEADERS:
-            raise BadRequestError(f"request has more than {MAX_HEADERS} headers")
         if request.header_bytes > MAX_HEADER_BYTES:
             raise BadRequestError(f"header section is longer than {MAX_HEADER_BYTES} bytes")
-        if name in KNOWN_HEADERS:
-            headers = request.headers
-            if name in headers:
-                request.has_repeated_header = True
+        headers = request.headers
+        if name in KNOWN_HEADERS and name not in headers:
             headers[name] = value
+            return
+        request.has_repeated_header |= name in headers
+        request.other_header_count += 1
+        if request.other_header_count > MAX_OTHER_HEADERS:
+            raise BadRequestError(f"more than {MAX_OTHER_HEADERS} headers are not used or repeated")
 
     def on_headers_complete(self) -> None:
         """Check the framing before the body is read.
--- a/api_gateway/network/executed_requests.py
+++ b/api_gateway/network/executed_requests.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-# Two generations are kept: an id is remembered for one to two times this long, unless many follow it.
+# Two generations are kept. An id is remembered for at least one, unless very many follow it, and is forgotten
+# as others follow.
 GENERATION_S = 30.0
 MAX_IDS_PER_GENERATION = 8192
 
@@ -31,21 +32,12 @@
         self._start_generation_if_due(now)
         self._current.add(hash(x_request_id))
 
-    def contains(self, x_request_id: bytes, now: float) -> bool:
-        """Return whether an id is remembered.
-
-        Args:
-            x_request_id: The id.
-            now: Time of the same clock.
-        """
-        self._start_generation_if_due(now)
+    def __contains__(self, x_request_id: bytes) -> bool:
+        """Return whether an id is remembered."""
         key = hash(x_request_id)
         return key in self._current or key in self._previous
 
     def _start_generation_if_due(self, now: float) -> None:
-        if now < self._generation_ends_at and len(self._current) < MAX_IDS_PER_GENERATION:
-            return
-        is_expired = now >= self._generation_ends_at + GENERATION_S
-        self._previous = set() if is_expired else self._current
-        self._current = set()
-        self._generation_ends_at = now + GENERATION_S
+        if now >= self._generation_ends_at or len(self._current) >= MAX_IDS_PER_GENERATION:
+            self._previous, self._current = self._current, set()
+            self._generation_ends_at = now + GENERATION_S
--- a/api_gateway/network/request_handler.py
+++ b/api_gateway/network/request_handler.py
@@ -93,11 +93,12 @@
             The request id for `client_disconnected`, or None if a request with the same X-Request-Id is open,
             or may have run and must not run again: endpoints identify a request by that header alone.
         """
-        now = time.monotonic()
-        if self._is_duplicate(inbound, now):
+        x_request_id = inbound.x_request_id
+        if self.requests.has_x_request_id(x_request_id) or x_request_id in self._executed_requests:
             return None
         # The deadline counts from when the client sent the request. So the time for which the request may
         # have been unread (lag) and the time since it was read are subtracted.
+        now = time.monotonic()
         queued_ms = (now - inbound.received_at_s) * 1000
         remaining_time_ms = (
             inbound.remaining_time_ms - CLIENT_ROUND_TRIP_MS - self._lag.lag_ms(now) - queued_ms
@@ -120,13 +121,6 @@
         )
         return request.request_id
 
-    def _is_duplicate(self, inbound: InboundRequest, now: float) -> bool:
-        """Return whether a request must not be sent, since one with its X-Request-Id is open or has run."""
-        x_request_id = inbound.x_request_id
-        return self.requests.has_x_request_id(x_request_id) or self._executed_requests.contains(
-            x_request_id, now
-        )
-
     def client_disconnected(self, request_id: str) -> None:
         """Close a request whose client has disconnected, and withdraw its attempts with unsent bytes."""
         request = self.requests.get(request_id)
--- a/api_gateway/network/response_parser.py
+++ b/api_gateway/network/response_parser.py
@@ -101,6 +101,7 @@
         self._max_body_bytes = max_body_bytes
         self._expected_responses = 0
         self._received_bytes = 0  # of the current response, with the interim responses before it
+        self._has_held_response = False  # whether `may_hold` was asked for a part of a response
         self._complete_responses: list[Response] = []
         self._begin_message()
 
@@ -176,7 +177,10 @@
         """Parse received data, then deliver the responses that it completes."""
         if self.transport.is_closing():
             return
-        is_valid = self._parse(data) and self.may_hold(self._held_bytes())
+        is_valid = self._parse(data)
+        if self._received_bytes or self._has_held_response:
+            self._has_held_response = self._received_bytes > 0
+            is_valid = self.may_hold(self._held_bytes()) and is_valid
         # An unsolicited response, such as a duplicate of the first one, would be matched to the next
         # request. So all data received together is parsed before a response in it is delivered.
         complete, self._complete_responses = self._complete_responses, []
--- a/api_gateway/network/socket_state.py
+++ b/api_gateway/network/socket_state.py
@@ -11,18 +11,28 @@
 import select
 
 
-def has_unread_data(transport: asyncio.BaseTransport) -> bool:
-    """Return whether the socket is readable: data, or the end of the stream, is waiting to be read."""
-    return _poll(transport, select.POLLIN)
+class SocketPoll:
+    """Polls the socket of one transport for an event, an error or a hang-up.
 
+    Args:
+        transport: The transport; its socket must be open whenever the poll is used.
+        events: Event mask of `select.poll`.
+    """
 
-def is_closed_by_peer(transport: asyncio.BaseTransport) -> bool:
-    """Return whether the peer has closed or reset the connection, even if unread data precedes the end."""
-    return transport.is_closing() or _poll(transport, select.POLLRDHUP)
+    def __init__(self, transport: asyncio.BaseTransport, events: int) -> None:
+        self._poll = select.poll()
+        self._poll.register(transport.get_extra_info("socket").fileno(), events)
 
+    def is_pending(self) -> bool:
+        """Return whether an event is pending."""
+        return bool(self._poll.poll(0))
 
-def _poll(transport: asyncio.BaseTransport, events: int) -> bool:
-    """Return whether one of `events`, an error or a hang-up is pending on the socket."""
-    poll = select.poll()
-    poll.register(transport.get_extra_info("socket").fileno(), events)
-    return bool(poll.poll(0))
+
+def unread_data_poll(transport: asyncio.BaseTransport) -> SocketPoll:
+    """Return a poll for data, or the end of the stream, that waits to be read."""
+    return SocketPoll(transport, select.POLLIN)
+
+
+def peer_close_poll(transport: asyncio.BaseTransport) -> SocketPoll:
+    """Return a poll for the end of a connection by the peer, even if unread data precedes it."""
+    return SocketPoll(transport, select.POLLRDHUP)
--- a/api_gateway/network/upstream/connection.py
+++ b/api_gateway/network/upstream/connection.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import select
 import time
 from typing import TYPE_CHECKING
 
 from api_gateway.network.response_parser import Response, ResponseProtocol
+from api_gateway.network.socket_state import SocketPoll, unread_data_poll
 
 if TYPE_CHECKING:
     from api_gateway.network.message_memory import MessageMemory
@@ -36,6 +36,7 @@
         self.attempt: Attempt | None = None
         self.is_reused = False
         self.idle_since = 0.0
+        self._unread_data_poll: SocketPoll | None = None  # set once the connection is made
 
     def send(self, attempt: Attempt) -> None:
         """Write the request of an attempt."""
@@ -53,13 +54,12 @@
         connection and this has not been read yet, a request that is written now fails, and it is unknown
         whether it has run.
         """
-        return not self.transport.is_closing() and not self._socket_poll.poll(0)
+        return not self.transport.is_closing() and not self._unread_data_poll.is_pending()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Report the new connection to the pool."""
         super().connection_made(transport)
-        self._socket_poll = select.poll()
-        self._socket_poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+        self._unread_data_poll = unread_data_poll(transport)
         self._pool.connection_opened(self)
 
     def response_received(self, response: Response, is_reusable: bool) -> None:
