--- a/api_gateway/configuration.py
+++ b/api_gateway/configuration.py
@@ -30,7 +30,7 @@
 COUNTER_TIMEOUT_FACTOR = 3.0
 
 DEFAULT_MAX_MEMORY_MB = 192
-# Memory for everything but messages: the interpreter, the connections, the tenants and the endpoint list.
+# Memory that is not for messages but for the interpreter, connections, tenants and the endpoint list.
 BASE_MEMORY_MB = 24.0
 # Fraction of the remaining memory for messages that are incomplete, in flight or unsent. The allocator leaves
 # free memory between them, and some are copied while they are forwarded.
--- a/tests/test_message_memory.py
+++ b/tests/test_message_memory.py
@@ -205,7 +205,7 @@
 
 @async_test(limit_s=5)
 async def test_connection_is_aborted_when_its_response_stays_unread() -> None:
-    # Guards against a leak: a connection whose client read nothing was kept, with its response, for good.
+    # Guards against a leak: a connection whose client read nothing was never closed.
     running = RunningListener(message_bytes=100_000)
     running.dispatcher.response_body = bytes(BODY_BYTES)
     client, connection = await connect_without_reading(running)
