Move the limits of the process to a module of their own

Change: ProcessLimits in limits.py has both numbers and what follows from them; Configuration has one field for it. Listener takes the number of connections.

--- a/api_gateway/__main__.py
+++ b/api_gateway/__main__.py
@@ -57,7 +57,7 @@
     """
     loop = asyncio.get_running_loop()
     dispatcher = Dispatcher(configuration, loop)
-    listener = Listener(dispatcher, loop, configuration.max_descriptors)
+    listener = Listener(dispatcher, loop, configuration.limits.downstream_connections)
     shutdown = GracefulShutdown(dispatcher, listener, loop)
     _install_signal_handlers(loop, dispatcher, shutdown)
     await _start_up(dispatcher, listener, configuration.listen)
--- a/api_gateway/configuration.py
+++ b/api_gateway/configuration.py
@@ -3,14 +3,12 @@
 from __future__ import annotations
 
 import json
-import math
-import resource
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
 
-from api_gateway.decisions.tenants import DEFAULT_MAX_TENANTS
 from api_gateway.errors import ConfigurationError, SettingError
+from api_gateway.limits import ProcessLimits, parse_limits
 from api_gateway.model.settings import Settings
 from api_gateway.network.address import Address, parse_address
 from api_gateway.network.discovery_codec import EndpointList, parse_endpoint_list
@@ -29,28 +27,6 @@
 # as valid as any other. With the configured timeout alone, a busy counter would be treated as unavailable.
 COUNTER_TIMEOUT_FACTOR = 3.0
 
-DEFAULT_MAX_MEMORY_MB = 192
-# Memory that is not for messages but for the interpreter, connections, tenants and the endpoint list.
-BASE_MEMORY_MB = 24.0
-# Fraction of the remaining memory for messages that are incomplete, in flight or unsent. The allocator leaves
-# free memory between them, and some are copied while they are forwarded.
-MESSAGE_MEMORY_FRACTION = 0.25
-MIN_MESSAGE_MEMORY_MB = 1.0
-# Fraction of the memory for the tenants, and the approximate memory of one.
-TENANT_MEMORY_FRACTION = 0.125
-TENANT_BYTES = 2 * 1024
-BYTES_PER_MB = 1024 * 1024
-
-DEFAULT_MAX_DESCRIPTORS = 1024
-MIN_DESCRIPTORS = 128
-# Fractions of the file descriptors for connections from clients and to endpoints.
-DOWNSTREAM_FRACTION = 0.5
-UPSTREAM_FRACTION = 0.36
-# Descriptors for all other uses: four connections to the counter and one to discovery (twice as many while a
-# SIGHUP replaces them), the listening socket, the standard streams, those of the event loop, and connections
-# that were closed in one iteration of the event loop and are freed in the next.
-RESERVED_DESCRIPTORS = 30
-
 
 @dataclass(slots=True, frozen=True)
 class Configuration:
@@ -62,9 +38,7 @@
         discovery: Host and port of discovery.
         counter: Host and port of the counter; None if the counter is not used.
         seed: Seed of all random draws.
-        max_memory_mb: Memory that the process may use, in MB of 2**20 bytes; 192 by default.
-        max_descriptors: File descriptors that the process may hold; 1024 by default, and at most the limit of
-            the operating system.
+        limits: Limits of the process; its descriptors are at most those that the operating system allows.
         settings: Settings of the decisions.
         cached_endpoints: Endpoint list to use until discovery responds; empty by default.
         connect_timeout_ms: Timeout for connecting to an endpoint; 250 by default.
@@ -79,8 +53,7 @@
     discovery: Address
     counter: Address | None
     seed: int
-    max_memory_mb: float
-    max_descriptors: int
+    limits: ProcessLimits
     settings: Settings
     cached_endpoints: EndpointList
     connect_timeout_ms: float
@@ -125,9 +98,7 @@
     discovery = _parse_address(raw, "discovery")
     counter_address = _parse_address(raw, "counter") if counter else None
     seed = _parse_seed(raw)
-    limits = _parse_limits(raw)
-    max_memory_mb = _parse_max_memory_mb(limits)
-    max_descriptors = _parse_max_descriptors(limits)
+    limits = parse_limits(raw.get("limits"))
     transport = _parse_transport_settings(values_by_path)
     return Configuration(
         name=str(raw.get("name", "")),
@@ -135,8 +106,7 @@
         discovery=discovery,
         counter=counter_address,
         seed=seed,
-        max_memory_mb=max_memory_mb,
-        max_descriptors=max_descriptors,
+        limits=limits,
         settings=settings,
         cached_endpoints=cached_endpoints,
         connect_timeout_ms=transport.connect_timeout_ms,
@@ -145,47 +115,6 @@
     )
 
 
-def max_message_bytes(max_memory_mb: float) -> int:
-    """Return the limit on the messages of all connections together, in bytes.
-
-    Args:
-        max_memory_mb: Memory that the process may use.
-    """
-    message_memory_mb = MESSAGE_MEMORY_FRACTION * (max_memory_mb - BASE_MEMORY_MB)
-    return int(max(message_memory_mb, MIN_MESSAGE_MEMORY_MB) * BYTES_PER_MB)
-
-
-def max_tenants(max_memory_mb: float) -> int:
-    """Return the number of tenants whose state may be kept.
-
-    Args:
-        max_memory_mb: Memory that the process may use.
-    """
-    tenants = int(TENANT_MEMORY_FRACTION * max_memory_mb * BYTES_PER_MB / TENANT_BYTES)
-    return min(tenants, DEFAULT_MAX_TENANTS)
-
-
-def max_downstream_connections(max_descriptors: int) -> int:
-    """Return how many connections from clients the process may hold.
-
-    Args:
-        max_descriptors: File descriptors that the process may hold.
-    """
-    return int(DOWNSTREAM_FRACTION * max_descriptors)
-
-
-def max_upstream_connections(max_descriptors: int) -> int:
-    """Return how many connections to endpoints the process may hold.
-
-    The result leaves `RESERVED_DESCRIPTORS` free, for example for connections to discovery and the counter.
-
-    Args:
-        max_descriptors: File descriptors that the process may hold.
-    """
-    unreserved = max_descriptors - max_downstream_connections(max_descriptors) - RESERVED_DESCRIPTORS
-    return min(int(UPSTREAM_FRACTION * max_descriptors), unreserved)
-
-
 def _read_json_object(path: str) -> dict[str, object]:
     try:
         raw = json.loads(Path(path).read_text(encoding="utf-8"))
@@ -242,31 +171,3 @@
         return int(str(raw.get("seed", "")), 16)
     except ValueError:
         raise ConfigurationError(f"seed: {raw.get('seed')!r} is not a hex number") from None
-
-
-def _parse_limits(raw: Mapping[str, object]) -> dict[str, object]:
-    limits = raw.get("limits") or {}
-    if not isinstance(limits, dict):
-        raise ConfigurationError("limits: must be an object")
-    return limits
-
-
-def _parse_max_memory_mb(limits: Mapping[str, object]) -> float:
-    value = limits.get("memory_mb", DEFAULT_MAX_MEMORY_MB)
-    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < math.inf:
-        raise ConfigurationError("limits.memory_mb: must be a number above 0")
-    return value
-
-
-def _parse_max_descriptors(limits: Mapping[str, object]) -> int:
-    value = limits.get("sockets", DEFAULT_MAX_DESCRIPTORS)
-    if not isinstance(value, int) or value < MIN_DESCRIPTORS:
-        raise ConfigurationError(f"limits.sockets: must be a whole number of {MIN_DESCRIPTORS} or more")
-    system_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-    if system_limit == resource.RLIM_INFINITY:
-        return value
-    if system_limit < MIN_DESCRIPTORS:
-        raise ConfigurationError(
-            f"limits.sockets: the system allows {system_limit} descriptors, {MIN_DESCRIPTORS} are needed"
-        )
-    return min(value, system_limit)
--- a/api_gateway/network/dispatcher.py
+++ b/api_gateway/network/dispatcher.py
@@ -11,7 +11,7 @@
 import time
 from collections import deque
 
-from api_gateway.configuration import Configuration, max_message_bytes, max_tenants
+from api_gateway.configuration import Configuration
 from api_gateway.decisions.gateway import Gateway
 from api_gateway.model.actions import (
     Action,
@@ -71,14 +71,12 @@
     ) -> None:
         self.settings = configuration.settings
         self.startup_complete = asyncio.Event()
-        self.message_memory = MessageMemory(max_message_bytes(configuration.max_memory_mb))
+        self.message_memory = MessageMemory(configuration.limits.message_bytes)
         self.is_draining = False
         self.is_terminated = False
         self._loop = loop
         self._clock = Clock()
-        self._gateway = Gateway(
-            configuration.settings, configuration.seed, max_tenants(configuration.max_memory_mb)
-        )
+        self._gateway = Gateway(configuration.settings, configuration.seed, configuration.limits.tenants)
         self._lag = EventLoopLag(loop)
         self._request_handler = RequestHandler(
             configuration=configuration,
--- a/api_gateway/network/downstream/listener.py
+++ b/api_gateway/network/downstream/listener.py
@@ -7,7 +7,6 @@
 import logging
 import socket
 
-from api_gateway.configuration import max_downstream_connections
 from api_gateway.network.dispatcher import Dispatcher
 from api_gateway.network.downstream.connection import DownstreamConnection
 from api_gateway.network.downstream.request_validation import RequestValidator
@@ -35,21 +34,20 @@
         read_buffer: The read buffer of all connections; each parses its data before the next one reads.
     """
 
-    def __init__(self, dispatcher: Dispatcher, loop: asyncio.AbstractEventLoop, max_descriptors: int) -> None:
+    def __init__(self, dispatcher: Dispatcher, loop: asyncio.AbstractEventLoop, max_connections: int) -> None:
         """Create a listener that does not listen yet.
 
         Args:
             dispatcher: Serves the requests.
             loop: The event loop.
-            max_descriptors: File descriptors that the process may hold. Client connections may use a fraction
-                of them.
+            max_connections: Limit on the client connections.
         """
         self.dispatcher = dispatcher
         self.loop = loop
         self.validator = RequestValidator(dispatcher.settings)
         self.connections: set[DownstreamConnection] = set()
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
-        self._max_connections = max_downstream_connections(max_descriptors)
+        self._max_connections = max_connections
         # Ordered sets of the connections that await no response, in ascending order of `receiving_since`.
         # Not all of them are idle: a connection may have read a part of a request.
         self._receiving_after_response: dict[DownstreamConnection, None] = {}
--- a/api_gateway/network/request_handler.py
+++ b/api_gateway/network/request_handler.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Callable
 
-from api_gateway.configuration import Configuration, max_upstream_connections
+from api_gateway.configuration import Configuration
 from api_gateway.model.actions import CancelAttempt, StartAttempt
 from api_gateway.model.events import AttemptEnded, ClientDisconnected, Event, RequestReceived
 from api_gateway.model.results import AttemptResult
@@ -63,7 +63,7 @@
         self.requests = OpenRequests()
         self.pool = pool_class(
             loop=loop,
-            max_connections=max_upstream_connections(configuration.max_descriptors),
+            max_connections=configuration.limits.upstream_connections,
             connect_timeout_ms=configuration.connect_timeout_ms,
             idle_timeout_ms=configuration.idle_timeout_ms,
             message_memory=message_memory,
--- a/tests/test_acceptance_descriptors.py
+++ b/tests/test_acceptance_descriptors.py
@@ -12,13 +12,9 @@
 from support.http_fakes import CLASS_SETTINGS, LOOPBACK, PLAN_SETTINGS, request_bytes, response_bytes
 from support.program import RunningProgram, run_scenario
 
-from api_gateway.configuration import (
-    MIN_DESCRIPTORS,
-    ConfigurationError,
-    max_downstream_connections,
-    max_upstream_connections,
-    parse_configuration,
-)
+from api_gateway.configuration import parse_configuration
+from api_gateway.errors import ConfigurationError
+from api_gateway.limits import MIN_DESCRIPTORS, ProcessLimits
 
 
 def serve(request: object) -> bytes:
@@ -69,7 +65,7 @@
                 for writer in list(fake.writers):
                     writer.transport.abort()
             clients = [asyncio.create_task(hold_idle_connection(program)) for _ in range(2 * sockets)]
-            held = max_downstream_connections(sockets) + 10
+            held = ProcessLimits(descriptors=sockets).downstream_connections + 10
             await wait_for_descriptors(program, held)
             await send_until_served(program, 0x100)
             for fake in fakes:
@@ -100,9 +96,10 @@
                 own_descriptors = min(own_descriptors, len(os.listdir(f"/proc/{program.process.pid}/fd")))
                 await asyncio.sleep(0.01)
             for sockets in (MIN_DESCRIPTORS, 200, 256, 576, 1024):
+                limits = ProcessLimits(descriptors=sockets)
                 assert (
-                    max_downstream_connections(sockets)
-                    + max_upstream_connections(sockets)
+                    limits.downstream_connections
+                    + limits.upstream_connections
                     + own_descriptors
                     + (4 + 1)
                     + 1
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -8,13 +8,11 @@
 import pytest
 
 from api_gateway.configuration import (
-    MIN_DESCRIPTORS,
     load_configuration,
-    max_tenants,
-    max_upstream_connections,
     parse_configuration,
 )
 from api_gateway.errors import ConfigurationError, GatewayError
+from api_gateway.limits import MIN_DESCRIPTORS, ProcessLimits
 
 RAW_CONFIGURATION = {
     "listen": "127.0.0.1:1",
@@ -114,11 +112,11 @@
 
 
 def test_connections_to_endpoints_leave_the_reserved_descriptors_free() -> None:
-    assert max_upstream_connections(MIN_DESCRIPTORS) == 34
-    assert max_upstream_connections(1024) == 368
+    assert ProcessLimits(descriptors=MIN_DESCRIPTORS).upstream_connections == 34
+    assert ProcessLimits(descriptors=1024).upstream_connections == 368
 
 
 @pytest.mark.parametrize(("memory_mb", "expected_tenants"), [(32, 2048), (64, 4096), (192, 8192)])
 def test_number_of_tenants_follows_from_the_memory(memory_mb: int, expected_tenants: int) -> None:
     # Guards against a crash: 8,192 tenants take 16 MB, which exceeded the least memory.
-    assert max_tenants(memory_mb) == expected_tenants
+    assert ProcessLimits(memory_mb=memory_mb).tenants == expected_tenants
--- a/tests/test_downstream.py
+++ b/tests/test_downstream.py
@@ -61,9 +61,9 @@
 class RunningListener:
     """A listener in this process, and clients that connect and send without running the event loop."""
 
-    def __init__(self, max_descriptors: int = 1024, message_bytes: int = 2 * 1024 * 1024) -> None:
+    def __init__(self, max_connections: int = 512, message_bytes: int = 2 * 1024 * 1024) -> None:
         self.dispatcher = FakeDispatcher(message_bytes)
-        self.listener = Listener(self.dispatcher, asyncio.get_running_loop(), max_descriptors)
+        self.listener = Listener(self.dispatcher, asyncio.get_running_loop(), max_connections)
         self.address = self.listener.start((LOOPBACK, 0))
 
     def connect(self, data: bytes = b"") -> socket.socket:
@@ -119,7 +119,7 @@
 @async_test(limit_s=5)
 async def test_listener_stays_open_until_the_connection_limit_admits_its_backlog() -> None:
     """The connection limit delays the accept; connections that wait in the backlog must not be reset."""
-    running = RunningListener(max_descriptors=4)  # allows two client connections
+    running = RunningListener(max_connections=2)
     clients = [running.connect_and_request(b"id-%d" % i) for i in range(4)]
     assert not running.listener.stop_accepting()
     while not running.listener.stop_accepting():
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -25,7 +25,7 @@
 )
 from support.program import RunningProgram, async_test
 
-from api_gateway.configuration import max_upstream_connections
+from api_gateway.limits import ProcessLimits
 from api_gateway.network.response_parser import ResponseProtocol
 
 # The least and the most memory of a scored day, and the most descriptors; clients hold a third at most.
@@ -204,7 +204,9 @@
 def assert_all_endpoints_may_send(reads: list[bytes]) -> None:
     """Check that the memory limit allows a response on each connection to an endpoint."""
     protocol = SilentResponseProtocol()
-    total_bytes = retained_bytes(protocol, reads) * max_upstream_connections(MAX_DESCRIPTORS)
+    total_bytes = (
+        retained_bytes(protocol, reads) * ProcessLimits(descriptors=MAX_DESCRIPTORS).upstream_connections
+    )
     assert protocol.received_bytes() == sum(map(len, reads))
     assert total_bytes < MEMORY_LIMIT_MB * BYTES_PER_MB
 
--- a/tests/test_message_memory.py
+++ b/tests/test_message_memory.py
@@ -11,7 +11,7 @@
 from support.program import async_test
 from test_downstream import RunningListener
 
-from api_gateway.configuration import max_message_bytes
+from api_gateway.limits import ProcessLimits
 from api_gateway.model.actions import FailRequest, StartAttempt
 from api_gateway.model.events import AttemptEnded, RequestReceived
 from api_gateway.model.results import AttemptResult
@@ -106,7 +106,7 @@
 
 @pytest.mark.parametrize(("memory_mb", "expected_mb"), [(16, 1), (32, 2), (192, 42)])
 def test_message_memory_follows_from_the_limit_of_the_process(memory_mb: int, expected_mb: int) -> None:
-    assert max_message_bytes(memory_mb) == expected_mb * BYTES_PER_MB
+    assert ProcessLimits(memory_mb=memory_mb).message_bytes == expected_mb * BYTES_PER_MB
 
 
 def send_partial_request(running: RunningListener, x_request_id: bytes) -> socket.socket:
