Log that the memory for messages is full

Cause: rejections for lack of memory left no line, so that engineers on call could not tell them from others. Change: message_memory_full is logged when the limit is reached, once until less than half of it is held.

--- a/api_gateway/network/message_memory.py
+++ b/api_gateway/network/message_memory.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import logging
 from typing import Protocol
 
+log = logging.getLogger(__name__)
+
 # Messages of a connection up to this size are not counted, and so never rejected for lack of memory. The
 # limit on the connections limits their sum.
 UNCOUNTED_BYTES = 4 * 1024
+# That the limit is reached is logged once, until less than this fraction of it is held.
+LOG_AGAIN_FRACTION = 0.5
 
 
 class MessageHolder(Protocol):
@@ -38,6 +43,7 @@
         self._limit_bytes = limit_bytes
         # In the order in which the messages of a connection became large enough to be counted.
         self._bytes_by_holder: dict[MessageHolder, int] = {}
+        self._is_logged = False
 
     def update(self, holder: MessageHolder, size_bytes: int) -> bool:
         """Record the size of all messages that a connection holds now.
@@ -63,11 +69,14 @@
     def remove(self, holder: MessageHolder) -> None:
         """Record that a connection holds no messages, or small ones only."""
         self.held_bytes -= self._bytes_by_holder.pop(holder, 0)
+        if self._is_logged and self.held_bytes < LOG_AGAIN_FRACTION * self._limit_bytes:
+            self._is_logged = False
 
     def _make_room(self, holder: MessageHolder, growth_bytes: int) -> bool:
         """Free memory of other connections until the growth is within the limit; return whether it is."""
         if self._has_room(growth_bytes):
             return True
+        self._log_limit_reached()
         others = [other for other in self._bytes_by_holder if other is not holder]
         for other in others:
             other.reject_partial_request()
@@ -79,5 +88,14 @@
                 return True
         return False
 
+    def _log_limit_reached(self) -> None:
+        if not self._is_logged:
+            self._is_logged = True
+            log.warning(
+                "message_memory_full limit_bytes=%d connections=%d",
+                self._limit_bytes,
+                len(self._bytes_by_holder),
+            )
+
     def _has_room(self, growth_bytes: int) -> bool:
         return growth_bytes <= 0 or self.held_bytes + growth_bytes <= self._limit_bytes
--- a/tests/test_message_memory.py
+++ b/tests/test_message_memory.py
@@ -96,6 +96,19 @@
     assert not memory.update(newest, 80_000)
 
 
+def test_limit_is_logged_once_until_much_memory_is_free(caplog: pytest.LogCaptureFixture) -> None:
+    memory = MessageMemory(limit_bytes=100_000)
+    first, second = FakeHolder(memory), FakeHolder(memory)
+    memory.update(first, 80_000)
+    for _ in range(3):
+        assert not memory.update(second, 30_000)
+    assert caplog.messages == ["message_memory_full limit_bytes=100000 connections=1"]
+    memory.remove(first)
+    memory.update(second, 80_000)
+    assert not memory.update(first, 30_000)
+    assert len(caplog.messages) == 2
+
+
 def test_holder_is_not_asked_to_free_its_own_memory() -> None:
     memory = MessageMemory(limit_bytes=100_000)
     partial = FakeHolder(memory, has_partial_request=True)
