Do not restart the timeout of an unread response with further input

Cause: a client that reads no response and sends a little now and then restarted the time that ends its connection, which is not evictable either while it has unsent bytes. Change: input starts the timeout for reading a request only if no response is unsent. Result: the test of that timeout, now with further input before it, failed before and passes.

--- a/api_gateway/network/downstream/connection.py
+++ b/api_gateway/network/downstream/connection.py
@@ -98,7 +98,9 @@
             if self._discarded_bytes > MAX_DISCARDED_BYTES:
                 self.transport.abort()
             return
-        if self.has_responded and not (self._is_awaiting_response or self._reader.has_partial_request):
+        if self.has_responded and not (
+            self._is_awaiting_response or self._reader.has_partial_request or self._is_writing_paused
+        ):
             self._listener.connection_receiving(self)  # starts the timeout for reading a request
         read_buffer = self._listener.read_buffer
         if nbytes == len(read_buffer):
--- a/tests/test_message_memory.py
+++ b/tests/test_message_memory.py
@@ -225,6 +225,9 @@
     client.sendall(request_bytes())
     await wait_until_held(running, BODY_BYTES // 2)
     responded_at = connection.receiving_since
+    await asyncio.sleep(0.2)
+    client.sendall(request_bytes())  # further input does not restart the timeout
+    await asyncio.sleep(0.01)
     connection.enforce_timeouts(responded_at + UNREAD_RESPONSE_TIMEOUT_S - 0.1)
     await asyncio.sleep(0.01)
     assert running.listener.connections == {connection}
